--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,652 @@
+// All decisions of barleysail are in this file; the interface (settings, Writer) is in steward.go beside it.
+//
+// The caller makes one Steward an instance with New, notes what came in (WholeList or ListChange and Entry, Joined,
+// Left, Heard, Usage, Answered, Probed, Woken), and then calls Round once a batch. Noting only records; Round decides
+// and writes orders to the Writer. Times are milliseconds, hosts and proxies are small indices given by the caller.
+package decide
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"sort"
+)
+
+const (
+	tick       = 200.0 // ms between rounds of periodic work
+	epsilon    = 0.05  // share of transactions that may miss the deadline d
+	median4    = 4.0   // deadline d as a multiple of the median response time
+	capLeast   = 0.5   // the cap is never under this part of the service rate
+	floorPart  = 0.1   // a server keeps this part of its listed share
+	driftPart  = 0.05  // of the way back to the listed weight, each report round
+	memory     = 0.8   // what earlier sums count for after a report round
+	enough     = 25.0  // answers before a server's response time is believed
+	ackPart    = 0.8   // of the proxies that answered a mark: the next changes may go
+	ackWait    = 2000.0
+	worthTell  = 0.1 // relative change of a weight that is worth a line
+	slowest    = 0.5 // the channel is taken to run at this part of its pace
+	probePart  = 0.003
+	silences   = 3 // probes unanswered in a row that prove a server silent
+	absences   = 2 // probes that found nothing in a row that prove a server gone
+	trialPart  = 0.25
+	keepPart   = 0.34 // of the listed weight that stays in the tables whatever the probes say
+	shedAbove  = 0.92
+	shedTo     = 0.85
+	easeUnder  = 0.8
+	levelLeast = 0.1
+)
+
+// server is what the steward knows of one host.
+type server struct {
+	zone             int
+	phase            Phase
+	seen             bool
+	listed, started  float64 // listed weight; time of the last known start, or -1 where that is long ago
+	weight           float64 // where the moves have put it, in units of listed weight
+	told             float64 // the weight that the tables hold
+	good, bad        float64 // decayed sums: fulfilled tries, failed tries
+	time, span       float64 // decayed sums: response times, time counted over
+	newGood, newBad  int
+	newTime, newSpan float64
+	util, queue, qps float64
+	rate, r          float64 // λ and R
+	hold             float64 // no move before this time
+	strikes, fine    int
+	mute             int  // report rounds in a row with failures alone
+	absent           bool // the last strike found nothing at all
+	out              bool // withdrawn
+	part             float64
+	back             float64 // when the trial may take its next step
+	probing          bool
+}
+
+type proxy struct {
+	zone          int
+	usual         float64
+	joined, bound bool
+}
+
+type due struct {
+	at   float64
+	host int // below 0: ask for the list again
+}
+
+// Steward decides for one instance.
+type Steward struct {
+	set                            Settings
+	now                            float64
+	servers                        []server
+	order                          []int // listed hosts in the order they were first met
+	proxies                        []proxy
+	dues                           []due
+	listKnown, watching, askFailed bool
+	askWait                        float64
+	wakeAt, heardAt, lastHeard     float64
+	heard                          bool
+	gap, settle                    float64
+	median                         float64
+	came                           []float64
+	level                          float64
+	levelHold                      float64
+	shares, toldShares             []float64
+	tries, toldTries               int
+	mark, marked, answered         int
+	markAt                         float64
+	sent                           []float64
+	queued, queuedAt               float64
+	counter                        uint64
+}
+
+// New makes the steward of an instance that has just started.
+func New(set Settings) *Steward {
+	s := &Steward{set: set, level: 1, tries: 1, toldTries: set.UsualTries, wakeAt: -1, heardAt: -1, lastHeard: -1}
+	for range set.Classes {
+		s.came, s.shares, s.toldShares = append(s.came, 0), append(s.shares, 1), append(s.toldShares, 1)
+	}
+	s.settle = set.Channel.LateMost + 2*set.Period + ackWait/2
+	return s
+}
+
+func (s *Steward) server(h int) *server {
+	for len(s.servers) <= h {
+		s.servers = append(s.servers, server{started: -1, part: 1, util: -1, queue: -1, qps: -1})
+	}
+	return &s.servers[h]
+}
+
+func (s *Steward) proxy(p int) *proxy {
+	for len(s.proxies) <= p {
+		s.proxies = append(s.proxies, proxy{})
+	}
+	return &s.proxies[p]
+}
+
+// WholeList notes that the entries which follow are the whole list.
+func (s *Steward) WholeList(cached bool) {
+	for i := range s.servers {
+		s.servers[i].phase = Gone
+	}
+	s.listKnown = s.listKnown || !cached
+	s.watching = s.watching || !cached
+}
+
+// ListChange notes that the entries which follow are changes.
+func (s *Steward) ListChange() { s.watching = true }
+
+// ListFailed notes that a call for the list failed or that the list no longer sends its changes.
+func (s *Steward) ListFailed() { s.askFailed = true }
+
+// Entry notes an entry of the list.
+func (s *Steward) Entry(host, zone int, phase Phase, listed, started float64) {
+	v := s.server(host)
+	if !v.seen {
+		s.order = append(s.order, host)
+		if s.listKnown && started <= 0 {
+			started = s.now
+		}
+		v.weight = listed
+	}
+	v.weight *= listed / math.Max(v.listed, 1e-9)
+	if !v.seen || v.listed <= 0 {
+		v.weight = listed
+	}
+	v.seen, v.zone, v.phase, v.listed = true, zone, phase, listed
+	if started > 0 && started != v.started {
+		*v = server{zone: zone, phase: phase, seen: true, listed: listed, started: started, weight: listed, part: 1,
+			told: v.told, util: -1, queue: -1, qps: -1, probing: v.probing}
+	}
+}
+
+// Joined notes that a proxy's stream stands.
+func (s *Steward) Joined(p, zone int, usual float64) {
+	*s.proxy(p) = proxy{zone: zone, usual: usual, joined: true}
+}
+
+// Left notes that a proxy's stream broke.
+func (s *Steward) Left(p int) { s.proxy(p).joined = false }
+
+// Heard notes the sums of what the proxies of a zone met at a host.
+func (s *Steward) Heard(host, zone, tries, failed int, mean, span float64, load Load) {
+	v := s.server(host)
+	good := max(tries-failed, 0)
+	v.newGood, v.newBad = v.newGood+good, v.newBad+failed
+	v.newTime, v.newSpan = v.newTime+mean*float64(good), math.Max(v.newSpan, span)
+	s.noteLoad(v, load)
+	s.heard = true
+}
+
+func (s *Steward) noteLoad(v *server, load Load) {
+	if load.Util >= 0 {
+		v.util = load.Util
+	}
+	if load.Queue >= 0 {
+		v.queue = load.Queue
+	}
+	if load.Rate >= 0 {
+		v.qps = load.Rate
+	}
+}
+
+// Usage notes the transactions of a class that came to a proxy.
+func (s *Steward) Usage(p, class, came, unanswered int, span float64) {
+	s.came[class] += float64(came)
+}
+
+// Answered notes that a proxy applied the messages up to a mark.
+func (s *Steward) Answered(p, number int, took float64) {
+	if number == s.mark && s.marked > 0 {
+		s.answered++
+	}
+}
+
+// Probed notes the end of a probe.
+func (s *Steward) Probed(host int, how Outcome, took float64, load Load) {
+	v := s.server(host)
+	v.probing = false
+	switch how {
+	case Fine:
+		v.strikes, v.fine = 0, v.fine+1
+		s.noteLoad(v, load)
+	case Silent, Unreachable:
+		v.strikes, v.fine, v.absent = v.strikes+1, 0, how == Unreachable
+	}
+}
+
+// Woken notes that the timer is due.
+func (s *Steward) Woken() {}
+
+// Round decides on all that was noted since the last round.
+func (s *Steward) Round(now float64, w Writer) {
+	s.now = now
+	first := s.wakeAt < 0
+	if s.set.MustAsk {
+		s.follow(w, first)
+	}
+	if first {
+		for _, h := range s.order {
+			s.add(now+s.chance()*1000, h)
+		}
+	}
+	if first || now >= s.wakeAt {
+		s.wakeAt = now + tick
+		w.Wake(s.wakeAt)
+		if s.heard && now-s.heardAt >= s.set.Period*0.9 {
+			s.report(w)
+		}
+	}
+	s.runDue(w)
+	s.judge(w, s.set.Guard.Cold)
+	s.publish(w, s.set.Channel)
+}
+
+// chance gives the next figure from 0 to 1.
+func (s *Steward) chance() float64 {
+	var b [16]byte
+	s.counter++
+	binary.LittleEndian.PutUint64(b[:8], s.set.Seed)
+	binary.LittleEndian.PutUint64(b[8:], s.counter)
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+func (s *Steward) add(at float64, host int) {
+	i := sort.Search(len(s.dues), func(i int) bool { return s.dues[i].at > at })
+	s.dues = append(s.dues, due{})
+	copy(s.dues[i+1:], s.dues[i:])
+	s.dues[i] = due{at, host}
+}
+
+// follow keeps the subscription to the list where the list must be asked. A failed call is repeated after a wait that
+// doubles up to a bound, with some chance in it so that stewards do not ask in step.
+func (s *Steward) follow(w Writer, first bool) {
+	if first {
+		w.Watch()
+	}
+	if s.askFailed {
+		s.askFailed, s.watching = false, false
+		s.askWait = math.Min(math.Max(2*s.askWait, 250), 4000)
+		s.add(s.now+s.askWait*(0.5+s.chance()), -1)
+		w.Log(fmt.Sprintf("list call failed, asking again within %.0f ms", s.askWait*1.5))
+	}
+	if s.watching {
+		s.askWait = 0
+	}
+}
+
+func (s *Steward) runDue(w Writer) {
+	for len(s.dues) > 0 && s.dues[0].at <= s.now {
+		h := s.dues[0].host
+		s.dues = s.dues[1:]
+		if h < 0 {
+			w.Watch()
+			continue
+		}
+		v := &s.servers[h]
+		if !s.set.MayProbe {
+			continue
+		}
+		if v.phase == Ready && !v.probing {
+			v.probing = true
+			w.Probe(h)
+		}
+		s.add(s.now+s.probeEvery(s.set.Goal.ProbePrice, v.strikes > 0 && !v.out), h)
+	}
+}
+
+// probeEvery spaces the probes so that their price stays under a small part of the result.
+func (s *Steward) probeEvery(price float64, suspect bool) float64 {
+	total := 0.0
+	for _, h := range s.order {
+		total += s.servers[h].rate
+	}
+	every := 1000.0
+	if price > 0 && total > 0 {
+		every = float64(len(s.order)*s.set.Instances) * price / (probePart * total * s.share()) * s.share() * 1000
+	}
+	if suspect {
+		return 300
+	}
+	return math.Min(math.Max(every, 500), 2000)
+}
+
+// share is the part of all proxies that are joined here.
+func (s *Steward) share() float64 {
+	joined := 0
+	for i := range s.proxies {
+		if s.proxies[i].joined {
+			joined++
+		}
+	}
+	return math.Max(float64(joined)/float64(s.set.Proxies), 1e-3)
+}
+
+// report takes in a round of sums, and moves load.
+func (s *Steward) report(w Writer) {
+	if s.lastHeard >= 0 {
+		s.gap = math.Max(s.now-s.lastHeard-s.set.Period, s.gap*memory)
+	}
+	s.lastHeard, s.heardAt, s.heard = s.now, s.now, false
+	s.estimate(s.share())
+	s.shift(w, s.set.Zones)
+	if s.set.Admits {
+		s.admit(w, s.set.Classes, s.set.Goal)
+	}
+}
+
+// estimate brings λ and R of each server up to date. A failed try counts as one that took the deadline d, so that
+// quick errors and few answers never read as room.
+func (s *Steward) estimate(share float64) {
+	var heard []float64
+	for _, h := range s.order {
+		v := &s.servers[h]
+		if v.newGood == 0 && v.newBad > 0 {
+			v.mute++
+		} else if v.newGood > 0 {
+			v.mute = 0
+		}
+		if s.now < v.hold {
+			v.good, v.bad, v.time, v.span = 0, 0, 0, 0
+		} else {
+			v.good = v.good*memory + float64(v.newGood)
+			v.bad = v.bad*memory + float64(v.newBad)
+			v.time = v.time*memory + v.newTime + float64(v.newBad)*median4*s.median
+			v.span = v.span*memory + math.Max(v.newSpan, s.set.Period)
+		}
+		v.newGood, v.newBad, v.newTime, v.newSpan = 0, 0, 0, 0
+		if v.good+v.bad >= enough {
+			v.r = v.time / (v.good + v.bad)
+			v.rate = (v.good + v.bad) / v.span * 1000 / share
+			if v.qps >= 0 {
+				v.rate = math.Max(v.qps, v.rate*0.5)
+			}
+			if s.serving(v) {
+				heard = append(heard, v.r)
+			}
+		}
+	}
+	if len(heard) > 0 {
+		sort.Float64s(heard)
+		s.median = heard[len(heard)/2]
+	}
+}
+
+func (s *Steward) serving(v *server) bool {
+	return v.phase == Ready && !v.out && v.part >= 1 && s.warmth(v, s.set.Guard) >= 1
+}
+
+// warmth is the least part of its capacity that a server has after its start.
+func (s *Steward) warmth(v *server, g Guard) float64 {
+	if v.started < 0 || s.now >= v.started+g.Cold {
+		return 1
+	}
+	return g.ColdFrom + (1-g.ColdFrom)*math.Max(s.now-v.started, 0)/g.Cold
+}
+
+// shift is the design's mechanism: from the most overloaded server, min{excess, room, sender's rate} goes to the
+// roomiest, servers of the same zone first; with none over its cap the weights drift back.
+func (s *Steward) shift(w Writer, zones int) {
+	if s.median <= 0 {
+		return
+	}
+	type load struct {
+		host        int
+		excess, can float64
+	}
+	k := math.Abs(math.Log(epsilon)) / (median4 * s.median) * 1000
+	var over, all []load
+	total, weights := 0.0, 0.0
+	for _, h := range s.order {
+		v := &s.servers[h]
+		if !s.serving(v) {
+			continue
+		}
+		total, weights = total+v.rate, weights+v.weight
+		if s.now < v.hold || v.good+v.bad < enough {
+			continue
+		}
+		mu := v.rate + 1000/v.r
+		limit := math.Max(mu-k, mu*capLeast)
+		l := load{h, v.rate - limit, v.rate * (1 - floorPart*v.listed/math.Max(v.weight, 1e-9))}
+		all = append(all, l)
+		if l.excess > 0 && l.can > 0 {
+			over = append(over, l)
+		}
+	}
+	if total <= 0 {
+		return
+	}
+	sort.SliceStable(over, func(i, j int) bool { return over[i].excess > over[j].excess })
+	for _, o := range over {
+		from := &s.servers[o.host]
+		sort.SliceStable(all, func(i, j int) bool {
+			a, b := s.servers[all[i].host].zone == from.zone, s.servers[all[j].host].zone == from.zone
+			if a != b {
+				return a
+			}
+			return all[i].excess < all[j].excess
+		})
+		for i := range all {
+			move := math.Min(math.Min(o.excess, -all[i].excess), o.can)
+			if move <= 0 {
+				continue
+			}
+			to := &s.servers[all[i].host]
+			from.weight -= move / total * weights
+			to.weight += move / total * weights
+			all[i].excess += move
+			o.excess, o.can = o.excess-move, o.can-move
+			from.hold, to.hold = s.now+s.settle+s.gap, s.now+s.settle+s.gap
+		}
+	}
+	if len(over) == 0 {
+		for _, h := range s.order {
+			if v := &s.servers[h]; s.now >= v.hold {
+				v.weight += driftPart * (v.listed - v.weight)
+			}
+		}
+	}
+}
+
+// admit sets how much is let in. Only measured overload lowers it: the servers' own report of busy cores.
+func (s *Steward) admit(w Writer, classes []Class, goal Goal) {
+	busy, n := 0.0, 0.0
+	for _, h := range s.order {
+		if v := &s.servers[h]; s.serving(v) && v.util >= 0 {
+			busy, n = busy+v.util*v.weight, n+v.weight
+		}
+	}
+	for c := range s.came {
+		s.came[c] *= memory
+	}
+	if n <= 0 || s.now < s.levelHold {
+		return
+	}
+	busy /= n
+	was := s.level
+	if busy > shedAbove {
+		s.level = math.Max(s.level*shedTo/busy, levelLeast)
+	} else if busy < easeUnder && s.level < 1 {
+		s.level = math.Min(1, s.level*1.1)
+	}
+	if s.level == was {
+		return
+	}
+	s.levelHold = s.now + s.settle + s.gap
+	if was == 1 || s.level == 1 {
+		w.Log(fmt.Sprintf("level %.2f at %.2f busy", s.level, busy))
+	}
+	s.tries = 1
+	if s.level < 1 {
+		s.tries = 0
+	}
+	s.spread(classes, goal)
+}
+
+// spread deals the level out to the classes: the least earnings per work go first, unless the worst-served class
+// weighs so much that cutting all evenly costs less. The due time stands for the work of a class, which is not told.
+func (s *Steward) spread(classes []Class, goal Goal) {
+	work, earn := make([]float64, len(classes)), make([]float64, len(classes))
+	order := make([]int, len(classes))
+	sumWork, sumEarn := 0.0, 0.0
+	for c, k := range classes {
+		n := s.came[c] + 1
+		work[c], earn[c], order[c] = n*k.Due, n*k.Earnings, c
+		sumWork, sumEarn = sumWork+work[c], sumEarn+earn[c]
+	}
+	sort.SliceStable(order, func(i, j int) bool {
+		return earn[order[i]]*work[order[j]] < earn[order[j]]*work[order[i]]
+	})
+	low := order[0]
+	weight := math.Max(goal.Whole+goal.WorstClass, 1e-9)
+	cost := (goal.Whole/weight*earn[low]/math.Max(sumEarn, 1e-9) + goal.WorstClass/weight) / (work[low] / sumWork)
+	cut := (1 - s.level) * sumWork
+	for _, c := range order {
+		s.shares[c] = s.level
+		if cost < 1 {
+			part := math.Min(cut, work[c]*(1-levelLeast))
+			s.shares[c], cut = 1-part/work[c], cut-part
+		}
+	}
+}
+
+// judge withdraws servers on proof and lets them return by trial.
+func (s *Steward) judge(w Writer, cold float64) {
+	listed, in := 0.0, 0.0
+	for _, h := range s.order {
+		if v := &s.servers[h]; v.phase == Ready {
+			listed += v.listed
+			if !v.out {
+				in += v.listed
+			}
+		}
+	}
+	for _, h := range s.order {
+		v := &s.servers[h]
+		if v.phase != Ready {
+			continue
+		}
+		proof := v.strikes >= silences || v.absent && v.strikes >= absences
+		if !v.out && proof && in-v.listed >= keepPart*listed && in > v.listed {
+			v.out, v.part, v.fine = true, trialPart, 0
+			in -= v.listed
+			w.Log(fmt.Sprintf("withdraw host %d: %d probes failed, absent %v, %.2f of the weight left", h, v.strikes,
+				v.absent, in/listed))
+		} else if v.out && v.fine >= 2 {
+			v.out, v.back = false, s.now+1500
+			in += v.listed
+			w.Log(fmt.Sprintf("return host %d on trial", h))
+		} else if !v.out && v.part < 1 && s.now >= v.back {
+			v.part, v.back = math.Min(1, v.part*2), s.now+1000
+		}
+	}
+}
+
+// want is the weight that a server should have in the tables.
+func (s *Steward) want(v *server) float64 {
+	if v.phase != Ready || v.out {
+		return 0
+	}
+	return math.Max(v.weight, floorPart*v.listed) * v.part * s.warmth(v, s.set.Guard)
+}
+
+// publish writes what changed. Removals go at once, other changes once the last mark was mostly answered.
+func (s *Steward) publish(w Writer, c Channel) {
+	s.queued = math.Max(0, s.queued-(s.now-s.queuedAt)/1000*c.LinesPerS*slowest)
+	s.queuedAt = s.now
+	joined, waiting := 0, 0
+	for i := range s.proxies {
+		if p := &s.proxies[i]; p.joined && p.bound {
+			joined++
+		} else if p.joined {
+			waiting++
+		}
+	}
+	if s.mark == 0 && waiting == 0 {
+		return
+	}
+	for len(s.sent) > 0 && s.sent[0] < s.now-c.MessagesOver {
+		s.sent = s.sent[1:]
+	}
+	room := func(part float64, lines int) bool {
+		if c.MessagesMost > 0 && float64(len(s.sent)+2) > part*float64(c.MessagesMost) {
+			return false
+		}
+		return s.queued+float64(joined)*(c.Head+float64(lines)) <= part*c.MostWaiting
+	}
+	open := float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
+	var urgent, plain []int
+	lines := 0
+	for _, h := range s.order {
+		v := &s.servers[h]
+		want := s.want(v)
+		if want > 0 {
+			lines++
+		}
+		if want == v.told {
+			continue
+		}
+		cold := s.warmth(v, s.set.Guard) < 1
+		switch {
+		case want == 0 && v.told > 0, cold && want < v.told*0.9:
+			urgent = append(urgent, h)
+		case math.Abs(want-v.told) > worthTell*math.Max(v.told, 0.1*v.listed):
+			plain = append(plain, h)
+		}
+	}
+	wrote := 0
+	if len(urgent) > 0 && room(0.9, len(urgent)) {
+		wrote += s.tell(w, urgent)
+	}
+	if (open || s.mark == 0) && room(0.5, len(plain)) {
+		wrote += s.tell(w, plain)
+		wrote += s.tellLevels(w)
+	}
+	for i := range s.proxies {
+		p := &s.proxies[i]
+		if !p.joined || p.bound {
+			continue
+		}
+		cost := c.Head + 2 + float64(lines+len(s.shares))
+		if s.queued+cost > 0.95*c.MostWaiting {
+			continue
+		}
+		s.queued += cost
+		p.bound = true
+		w.Bind(i, 0, 0)
+		if wrote == 0 {
+			wrote = -1
+		}
+	}
+	if wrote == 0 {
+		return
+	}
+	s.mark = s.mark%60000 + 1
+	s.marked, s.answered, s.markAt = joined, 0, s.now
+	if wrote > 0 {
+		s.sent = append(s.sent, s.now)
+		s.queued += float64(joined) * (c.Head + float64(wrote) + 1)
+	}
+	w.Mark(s.mark)
+}
+
+func (s *Steward) tell(w Writer, hosts []int) int {
+	for _, h := range hosts {
+		v := &s.servers[h]
+		v.told = s.want(v)
+		w.Line(0, h, v.told)
+	}
+	return len(hosts)
+}
+
+func (s *Steward) tellLevels(w Writer) int {
+	n := 0
+	for c := range s.shares {
+		if math.Abs(s.shares[c]-s.toldShares[c]) > 0.02 || s.tries != s.toldTries {
+			s.toldShares[c] = s.shares[c]
+			w.Level(0, 1<<c, s.shares[c], s.tries)
+			n++
+		}
+	}
+	s.toldTries = s.tries
+	return n
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,95 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Service is a class of transactions as the settings spell it.
+type Service struct {
+	AimUs, HardLimitUs, Value *float64
+	Effect, KeyScope, Name    string
+	WindowUs                  float64
+}
+
+// Settings is what Start carries. Pointers are promised by the wire; plain fields have a fallback.
+type Settings struct {
+	Discovery      string
+	FailureDomains []string
+	FamilyInfo     struct {
+		Admission                                                string
+		BareUs, ChannelRate, MostWaiting, IntervalUs, PerMessage *float64
+		DataPlaneSize                                            *int
+		LateUs, PushDelayMaxUs, UpdateWindowUs                   float64
+		MessagesMost, RetryDefault, Shards                       int
+		StaysLocal                                               []bool
+	}
+	Index, Instances *int
+	Limits           struct{ MayProbe bool }
+	Prices           struct{ Probe float64 }
+	Rules            struct {
+		ColdFrom, ColdUs, StopSendingWithinUs, FallMultiple, FallUs *float64
+	}
+	ScoreParts struct{ Whole, WorstClass, WorstWindow float64 }
+	Services   []Service
+	Zone       string
+}
+
+// What a string setting may hold.
+const (
+	Subscribed   = "subscribe"
+	AdmitNone    = "none"
+	AdmitShare   = "share"
+	Idempotent   = "idempotent"
+	Deduplicated = "deduplicated"
+	AtMostOnce   = "at_most_once"
+	EveryHost    = "all"
+)
+
+// ReadSettings decodes and checks the settings; the error names the setting that is absent or out of its range.
+func ReadSettings(raw []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, fmt.Errorf("Start: Settings: %v", err)
+	}
+	f, r := &s.FamilyInfo, &s.Rules
+	for _, p := range []struct {
+		name  string
+		value *float64
+		least float64
+	}{
+		{"FamilyInfo.BareUs", f.BareUs, 0}, {"FamilyInfo.ChannelRate", f.ChannelRate, 1e-9},
+		{"FamilyInfo.MostWaiting", f.MostWaiting, 0}, {"FamilyInfo.IntervalUs", f.IntervalUs, 1},
+		{"FamilyInfo.PerMessage", f.PerMessage, 0}, {"Rules.ColdFrom", r.ColdFrom, 0}, {"Rules.ColdUs", r.ColdUs, 0},
+		{"Rules.StopSendingWithinUs", r.StopSendingWithinUs, 0}, {"Rules.FallMultiple", r.FallMultiple, 1e-9},
+		{"Rules.FallUs", r.FallUs, 0},
+	} {
+		if p.value == nil {
+			return nil, fmt.Errorf("Start: setting %s is missing", p.name)
+		}
+		if *p.value < p.least {
+			return nil, fmt.Errorf("Start: setting %s is out of range: %g", p.name, *p.value)
+		}
+	}
+	switch {
+	case s.Index == nil || *s.Index < 0:
+		return nil, fmt.Errorf("Start: setting Index is missing or below 0")
+	case s.Instances == nil || *s.Instances < 1:
+		return nil, fmt.Errorf("Start: setting Instances is missing or below 1")
+	case f.DataPlaneSize == nil || *f.DataPlaneSize < 1:
+		return nil, fmt.Errorf("Start: setting FamilyInfo.DataPlaneSize is missing or below 1")
+	case len(s.Services) == 0 || len(s.Services) > 60:
+		return nil, fmt.Errorf("Start: setting Services holds %d classes, from 1 to 60 can be served", len(s.Services))
+	case len(s.FailureDomains) == 0:
+		return nil, fmt.Errorf("Start: setting FailureDomains is missing or empty")
+	}
+	for _, c := range s.Services {
+		if c.AimUs == nil || c.HardLimitUs == nil || c.Value == nil || *c.AimUs <= 0 || *c.HardLimitUs <= 0 || *c.Value < 0 {
+			return nil, fmt.Errorf("Start: setting Services: class %q lacks a good AimUs, HardLimitUs or Value", c.Name)
+		}
+		if c.Effect != Idempotent && c.Effect != Deduplicated && c.Effect != AtMostOnce {
+			return nil, fmt.Errorf("Start: setting Services: class %q has unknown Effect %q", c.Name, c.Effect)
+		}
+	}
+	return s, nil
+}
