Prove silence by improbability; scale cold weights by the fulfilled share

Cause: deep probes time out on busy hosts, so three misses flapped healthy hosts out and cold ones took the load of an overloaded fleet.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,8 +27,8 @@
 	worthTell  = 0.1 // relative change of a weight that is worth a line
 	slowest    = 0.5 // the channel is taken to run at this part of its pace
 	probePart  = 0.003
-	silences   = 3 // probes unanswered in a row that prove a server silent
-	absences   = 2 // probes that found nothing in a row that prove a server gone
+	surprise   = 0.001 // the chance under which a row of unanswered probes proves a server silent
+	absences   = 2     // probes that found nothing in a row that prove a server gone
 	trialPart  = 0.25
 	keepPart   = 0.34 // of the listed weight that stays in the tables whatever the probes say
 	shedAbove  = 0.92
@@ -53,9 +53,10 @@
 	rate, r          float64 // λ and R
 	hold             float64 // no move before this time
 	strikes, fine    int
-	mute             int  // report rounds in a row with failures alone
-	absent           bool // the last strike found nothing at all
-	out              bool // withdrawn
+	asked, missed    float64 // decayed: finished probes, and those of them that had no answer
+	mute             int     // report rounds in a row with failures alone
+	absent           bool    // the last strike found nothing at all
+	out              bool    // withdrawn
 	part             float64
 	back             float64 // when the trial may take its next step
 	probing          bool
@@ -85,7 +86,7 @@
 	wakeAt, heardAt, lastHeard     float64
 	heard                          bool
 	gap, settle                    float64
-	median                         float64
+	median, fulfilled              float64
 	came                           []float64
 	level                          float64
 	levelHold                      float64
@@ -100,7 +101,7 @@
 
 // New makes the steward of an instance that has just started.
 func New(set Settings) *Steward {
-	s := &Steward{set: set, level: 1, tries: 1, toldTries: set.UsualTries, wakeAt: -1, heardAt: -1, lastHeard: -1}
+	s := &Steward{set: set, level: 1, tries: 1, fulfilled: 1, toldTries: set.UsualTries, wakeAt: -1, heardAt: -1, lastHeard: -1}
 	for range set.Classes {
 		s.came, s.shares, s.toldShares = append(s.came, 0), append(s.shares, 1), append(s.toldShares, 1)
 	}
@@ -206,6 +207,7 @@
 	v.probing = false
 	switch how {
 	case Fine:
+		v.asked, v.missed = v.asked*0.9+float64(v.strikes+1), v.missed*0.9+float64(v.strikes)
 		v.strikes, v.fine = 0, v.fine+1
 		s.noteLoad(v, load)
 	case Silent, Unreachable:
@@ -337,6 +339,7 @@
 // quick errors and few answers never read as room.
 func (s *Steward) estimate(share float64) {
 	var heard []float64
+	good, all := 1.0, 1.0
 	for _, h := range s.order {
 		v := &s.servers[h]
 		if v.newGood == 0 && v.newBad > 0 {
@@ -352,6 +355,7 @@
 			v.time = v.time*memory + v.newTime + float64(v.newBad)*median4*s.median
 			v.span = v.span*memory + math.Max(v.newSpan, s.set.Period)
 		}
+		good, all = good+float64(v.newGood), all+float64(v.newGood+v.newBad)
 		v.newGood, v.newBad, v.newTime, v.newSpan = 0, 0, 0, 0
 		if v.good+v.bad >= enough {
 			v.r = v.time / (v.good + v.bad)
@@ -364,6 +368,7 @@
 			}
 		}
 	}
+	s.fulfilled = math.Min(good/all, 0.5*s.fulfilled+0.5*good/all)
 	if len(heard) > 0 {
 		sort.Float64s(heard)
 		s.median = heard[len(heard)/2]
@@ -511,10 +516,16 @@
 
 // judge withdraws servers on proof and lets them return by trial.
 func (s *Steward) judge(w Writer, cold float64) {
-	listed, in := 0.0, 0.0
+	listed, in, silent, n := 0.0, 0.0, 0, 0
+	asked, missed := 20.0, 1.0
 	for _, h := range s.order {
 		if v := &s.servers[h]; v.phase == Ready {
 			listed += v.listed
+			n++
+			asked, missed = asked+v.asked, missed+v.missed
+			if v.strikes > 0 && !v.absent {
+				silent++
+			}
 			if !v.out {
 				in += v.listed
 			}
@@ -525,7 +536,9 @@
 		if v.phase != Ready {
 			continue
 		}
-		proof := v.strikes >= silences || v.absent && v.strikes >= absences
+		chance := math.Max(missed/asked, (v.missed+missed/asked)/(v.asked+1))
+		proof := float64(v.strikes) >= math.Max(absences, math.Log(surprise)/math.Log(chance)) && silent*4 <= n+3
+		proof = proof || v.absent && v.strikes >= absences
 		if !v.out && proof && in-v.listed >= keepPart*listed && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
 			in -= v.listed
@@ -546,7 +559,11 @@
 	if v.phase != Ready || v.out {
 		return 0
 	}
-	return math.Max(v.weight, floorPart*v.listed) * v.part * s.warmth(v, s.set.Guard)
+	warm := s.warmth(v, s.set.Guard)
+	if warm < 1 {
+		warm *= s.fulfilled
+	}
+	return math.Max(v.weight, floorPart*v.listed) * v.part * warm
 }
 
 // publish writes what changed. Removals go at once, other changes once the last mark was mostly answered.
