Tell a cut zone from overload; keep failed tries out of the median response time

Cause: failed tries counted as 4 x a median that held them, so R ran away after a cut; and a silent zone was taken for overload.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	probePart  = 0.003
 	surprise   = 0.001 // the chance under which a row of unanswered probes proves a server silent
 	absences   = 2     // probes that found nothing in a row that prove a server gone
+	cutPart    = 0.75
 	trialPart  = 0.25
 	keepPart   = 0.34 // of the listed weight that stays in the tables whatever the probes say
 	shedAbove  = 0.92
@@ -352,19 +353,19 @@
 		} else {
 			v.good = v.good*memory + float64(v.newGood)
 			v.bad = v.bad*memory + float64(v.newBad)
-			v.time = v.time*memory + v.newTime + float64(v.newBad)*median4*s.median
+			v.time = v.time*memory + v.newTime
 			v.span = v.span*memory + math.Max(v.newSpan, s.set.Period)
 		}
 		good, all = good+float64(v.newGood), all+float64(v.newGood+v.newBad)
 		v.newGood, v.newBad, v.newTime, v.newSpan = 0, 0, 0, 0
 		if v.good+v.bad >= enough {
-			v.r = v.time / (v.good + v.bad)
+			v.r = (v.time + v.bad*median4*s.median) / (v.good + v.bad)
 			v.rate = (v.good + v.bad) / v.span * 1000 / share
 			if v.qps >= 0 {
 				v.rate = math.Max(v.qps, v.rate*0.5)
 			}
-			if s.serving(v) {
-				heard = append(heard, v.r)
+			if s.serving(v) && v.good >= enough/2 {
+				heard = append(heard, v.time/v.good)
 			}
 		}
 	}
@@ -536,10 +537,11 @@
 		if v.phase != Ready {
 			continue
 		}
+		cut := s.cut(v.zone)
 		chance := math.Max(missed/asked, (v.missed+missed/asked)/(v.asked+1))
 		proof := float64(v.strikes) >= math.Max(absences, math.Log(surprise)/math.Log(chance)) && silent*4 <= n+3
-		proof = proof || v.absent && v.strikes >= absences
-		if !v.out && proof && in-v.listed >= keepPart*listed && in > v.listed {
+		proof = proof || (v.absent || cut) && v.strikes >= absences
+		if !v.out && proof && in-v.listed >= keepPart*listed*s.share() && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
 			in -= v.listed
 			w.Log(fmt.Sprintf("withdraw host %d: %d probes failed, absent %v, %.2f of the weight left", h, v.strikes,
@@ -554,6 +556,26 @@
 	}
 }
 
+// cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the same time,
+// while nearly all of some other zone answer. It also fits a lost zone that says nothing.
+func (s *Steward) cut(zone int) bool {
+	mine, other := false, false
+	for z := range s.set.Zones {
+		n, silent := 0.0, 0.0
+		for _, h := range s.order {
+			if v := &s.servers[h]; v.zone == z && v.phase == Ready {
+				n++
+				if v.strikes >= absences {
+					silent++
+				}
+			}
+		}
+		mine = mine || z == zone && n > 1 && silent >= cutPart*n
+		other = other || z != zone && n > 0 && silent <= (1-cutPart)*n
+	}
+	return mine && other
+}
+
 // want is the weight that a server should have in the tables.
 func (s *Steward) want(v *server) float64 {
 	if v.phase != Ready || v.out {
