--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,7 +32,7 @@
 	cutPart    = 0.75
 	trialPart  = 0.25
 	keepPart   = 0.34 // of the listed weight that stays in the tables whatever the probes say
-	shedAbove  = 0.92
+	shedAbove  = 0.9
 	shedTo     = 0.85
 	easeUnder  = 0.8
 	levelLeast = 0.1
@@ -52,6 +52,7 @@
 	newTime, newSpan float64
 	util, queue, qps float64
 	rate, r          float64 // λ and R
+	rateGood         float64 // decayed: fulfilled tries
 	hold             float64 // no move before this time
 	strikes, fine    int
 	asked, missed    float64 // decayed: finished probes, and those of them that had no answer
@@ -88,7 +89,7 @@
 	heard                          bool
 	gap, settle                    float64
 	median, fulfilled              float64
-	came                           []float64
+	came, newCame                  []float64
 	level                          float64
 	levelHold                      float64
 	shares, toldShares             []float64
@@ -104,7 +105,8 @@
 func New(set Settings) *Steward {
 	s := &Steward{set: set, level: 1, tries: 1, fulfilled: 1, toldTries: set.UsualTries, wakeAt: -1, heardAt: -1, lastHeard: -1}
 	for range set.Classes {
-		s.came, s.shares, s.toldShares = append(s.came, 0), append(s.shares, 1), append(s.toldShares, 1)
+		s.came, s.newCame = append(s.came, 0), append(s.newCame, 0)
+		s.shares, s.toldShares = append(s.shares, 1), append(s.toldShares, 1)
 	}
 	s.settle = set.Channel.LateMost + 2*set.Period + ackWait/2
 	return s
@@ -192,7 +194,7 @@
 
 // Usage notes the transactions of a class that came to a proxy.
 func (s *Steward) Usage(p, class, came, unanswered int, span float64) {
-	s.came[class] += float64(came)
+	s.newCame[class] += float64(came)
 }
 
 // Answered notes that a proxy applied the messages up to a mark.
@@ -329,6 +331,9 @@
 		s.gap = math.Max(s.now-s.lastHeard-s.set.Period, s.gap*memory)
 	}
 	s.lastHeard, s.heardAt, s.heard = s.now, s.now, false
+	for c := range s.came {
+		s.came[c], s.newCame[c] = s.came[c]*memory+s.newCame[c], 0
+	}
 	s.estimate(s.share())
 	s.shift(w, s.set.Zones)
 	if s.set.Admits {
@@ -356,6 +361,7 @@
 			v.time = v.time*memory + v.newTime
 			v.span = v.span*memory + math.Max(v.newSpan, s.set.Period)
 		}
+		v.rateGood = v.rateGood*memory + float64(v.newGood)
 		good, all = good+float64(v.newGood), all+float64(v.newGood+v.newBad)
 		v.newGood, v.newBad, v.newTime, v.newSpan = 0, 0, 0, 0
 		if v.good+v.bad >= enough {
@@ -453,34 +459,38 @@
 	}
 }
 
-// admit sets how much is let in. Only measured overload lowers it: the servers' own report of busy cores.
+// admit sets how much is let in. Only measured overload lowers it: busy cores, together with failed tries or response
+// times that eat up the due time. The level then goes to what was fulfilled of all that came, and back by steps.
 func (s *Steward) admit(w Writer, classes []Class, goal Goal) {
-	busy, n := 0.0, 0.0
+	busy, n, good, slow := 0.0, 0.0, 0.0, 0.0
 	for _, h := range s.order {
-		if v := &s.servers[h]; s.serving(v) && v.util >= 0 {
+		v := &s.servers[h]
+		if s.serving(v) && v.util >= 0 {
 			busy, n = busy+v.util*v.weight, n+v.weight
 		}
+		good, slow = good+v.rateGood, slow+v.rateGood*v.r
 	}
+	came, dueMean := 1e-9, 0.0
 	for c := range s.came {
-		s.came[c] *= memory
+		came += s.came[c]
+		dueMean += s.came[c] * classes[c].Due
 	}
+	dueMean, slow = dueMean/came, slow/math.Max(good, 1e-9)
 	if n <= 0 || s.now < s.levelHold {
 		return
 	}
 	busy /= n
 	was := s.level
-	if busy > shedAbove {
-		s.level = math.Max(s.level*shedTo/busy, levelLeast)
+	if busy > shedAbove && (s.fulfilled < 0.93 || slow > 0.4*dueMean) {
+		s.level = math.Max(math.Max(math.Min(shedTo*good/came, s.level*0.9), s.level*0.5), levelLeast)
 	} else if busy < easeUnder && s.level < 1 {
-		s.level = math.Min(1, s.level*1.1)
+		s.level = math.Min(1, s.level*1.15)
 	}
 	if s.level == was {
 		return
 	}
 	s.levelHold = s.now + s.settle + s.gap
-	if was == 1 || s.level == 1 {
-		w.Log(fmt.Sprintf("level %.2f at %.2f busy", s.level, busy))
-	}
+	w.Log(fmt.Sprintf("level %.2f: busy %.2f, fulfilled %.2f, R %.0f of %.0f ms", s.level, busy, s.fulfilled, slow, dueMean))
 	s.tries = 1
 	if s.level < 1 {
 		s.tries = 0
