--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,7 @@
 	floorPart  = 0.1   // a server keeps this part of its listed share
 	driftPart  = 0.05  // of the way back to the listed weight, each report round
 	memory     = 0.8   // what earlier sums count for after a report round
-	enough     = 25.0  // answers before a server's response time is believed
+	average    = 6.0   // answers of average time that each server is taken to have given besides
 	ackPart    = 0.8   // of the proxies that answered a mark: the next changes may go
 	ackWait    = 2000.0
 	worthTell  = 0.1 // relative change of a weight that is worth a line
@@ -56,7 +56,7 @@
 	hold             float64 // no move before this time
 	strikes, fine    int
 	asked, missed    float64 // decayed: finished probes, and those of them that had no answer
-	mute             int     // report rounds in a row with failures alone
+	dry              int     // report rounds in a row without a fulfilled try
 	absent           bool    // the last strike found nothing at all
 	out              bool    // withdrawn
 	part             float64
@@ -348,10 +348,9 @@
 	good, all := 1.0, 1.0
 	for _, h := range s.order {
 		v := &s.servers[h]
-		if v.newGood == 0 && v.newBad > 0 {
-			v.mute++
-		} else if v.newGood > 0 {
-			v.mute = 0
+		v.dry++
+		if v.newGood > 0 {
+			v.dry = 0
 		}
 		if s.now < v.hold {
 			v.good, v.bad, v.time, v.span = 0, 0, 0, 0
@@ -364,15 +363,15 @@
 		v.rateGood = v.rateGood*memory + float64(v.newGood)
 		good, all = good+float64(v.newGood), all+float64(v.newGood+v.newBad)
 		v.newGood, v.newBad, v.newTime, v.newSpan = 0, 0, 0, 0
-		if v.good+v.bad >= enough {
-			v.r = (v.time + v.bad*median4*s.median) / (v.good + v.bad)
+		if v.span > 0 {
+			v.r = (v.time + (v.bad*median4+average)*s.median) / (v.good + v.bad + average)
 			v.rate = (v.good + v.bad) / v.span * 1000 / share
 			if v.qps >= 0 {
 				v.rate = math.Max(v.qps, v.rate*0.5)
 			}
-			if s.serving(v) && v.good >= enough/2 {
-				heard = append(heard, v.time/v.good)
-			}
+		}
+		if s.serving(v) && v.good >= average {
+			heard = append(heard, v.time/v.good)
 		}
 	}
 	s.fulfilled = math.Min(good/all, 0.5*s.fulfilled+0.5*good/all)
@@ -413,7 +412,7 @@
 			continue
 		}
 		total, weights = total+v.rate, weights+v.weight
-		if s.now < v.hold || v.good+v.bad < enough {
+		if s.now < v.hold || v.good+v.bad < 1 || v.r <= 0 {
 			continue
 		}
 		mu := v.rate + 1000/v.r
@@ -549,7 +548,7 @@
 		}
 		cut := s.cut(v.zone)
 		chance := math.Max(missed/asked, (v.missed+missed/asked)/(v.asked+1))
-		proof := float64(v.strikes) >= math.Max(absences, math.Log(surprise)/math.Log(chance)) && silent*4 <= n+3
+		proof := float64(v.strikes) >= math.Max(absences, math.Log(surprise)/math.Log(chance)) && silent*4 <= n+3 && v.dry > 0
 		proof = proof || (v.absent || cut) && v.strikes >= absences
 		if !v.out && proof && in-v.listed >= keepPart*listed*s.share() && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
