--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -122,7 +122,7 @@
 			Cold: *r.ColdUs / 1000, FallMultiple: *r.FallMultiple, FallT: *r.FallUs / 1000},
 		Goal: decide.Goal{Whole: s.ScoreParts.Whole + s.ScoreParts.WorstWindow, WorstClass: s.ScoreParts.WorstClass,
 			ProbePrice: s.Prices.Probe},
-		Period: *f.IntervalUs / 1000, UsualTries: f.RetryDefault, Admits: f.Admission == wire.AdmitShare,
+		Period: *f.IntervalUs / 1000, UsualTries: f.RetryDefault, Ejects: f.Ejects, Admits: f.Admission == wire.AdmitShare,
 		MayProbe: s.Limits.MayProbe, MustAsk: s.Discovery == wire.Subscribed,
 	}
 	effects := map[string]decide.Effect{wire.Idempotent: decide.Safe, wire.Deduplicated: decide.Keyed, wire.AtMostOnce: decide.Once}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	probePart  = 0.003
 	surprise   = 0.001 // the chance under which a row of unanswered probes proves a server silent
 	absences   = 2     // probes that found nothing in a row that prove a server gone
+	shunned    = 0.1   // part of its failures in a row at which a cold server is kept out of a fleet that shuns
 	cutPart    = 0.75
 	trialPart  = 0.25
 	keepPart   = 0.34 // of the listed weight that stays in the tables whatever the probes say
@@ -481,9 +482,9 @@
 	busy /= n
 	was := s.level
 	if busy > shedAbove && (s.fulfilled < 0.93 || slow > 0.4*dueMean) {
-		s.level = math.Max(math.Max(math.Min(shedTo*good/came, s.level*0.9), s.level*0.5), levelLeast)
+		s.level = math.Max(s.level*math.Min(math.Max(shedTo*s.fulfilled, 0.6), 0.9), levelLeast)
 	} else if busy < easeUnder && s.level < 1 {
-		s.level = math.Min(1, s.level*1.15)
+		s.level = math.Min(1, s.level*math.Min(math.Max(shedTo/busy, 1.1), 1.6))
 	}
 	if s.level == was {
 		return
@@ -558,6 +559,9 @@
 		} else if v.out && v.fine >= 2 {
 			v.out, v.back = false, s.now+1500
 			in += v.listed
+			if v.absent {
+				v.started, v.part = s.now, 1
+			}
 			w.Log(fmt.Sprintf("return host %d on trial", h))
 		} else if !v.out && v.part < 1 && s.now >= v.back {
 			v.part, v.back = math.Min(1, v.part*2), s.now+1000
@@ -593,6 +597,10 @@
 	warm := s.warmth(v, s.set.Guard)
 	if warm < 1 {
 		warm *= s.fulfilled
+		// Proxies that shun hosts after failures of their own would send all they have to a fresh one.
+		if e := s.set.Ejects; e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned {
+			return 0
+		}
 	}
 	return math.Max(v.weight, floorPart*v.listed) * v.part * warm
 }
--- a/decide/steward.go
+++ b/decide/steward.go
@@ -70,6 +70,7 @@
 	Guard                            Guard
 	Goal                             Goal
 	Period                           float64 // the sums come this often
+	Ejects                           int     // a proxy shuns a host after so many failures of its own in a row; 0: never
 	UsualTries                       int     // the proxies' way of trying again where none is set
 	Admits, MayProbe, MustAsk        bool
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -21,7 +21,7 @@
 		BareUs, ChannelRate, MostWaiting, IntervalUs, PerMessage *float64
 		DataPlaneSize                                            *int
 		LateUs, PushDelayMaxUs, UpdateWindowUs                   float64
-		MessagesMost, RetryDefault, Shards                       int
+		Ejects, MessagesMost, RetryDefault, Shards               int
 		StaysLocal                                               []bool
 	}
 	Index, Instances *int
