--- a/decide/decide.go
+++ b/decide/decide.go
@@ -145,6 +145,9 @@
 // Entry notes an entry of the list.
 func (s *Steward) Entry(host, zone int, phase Phase, listed, started float64) {
 	v := s.server(host)
+	if listed <= 0 {
+		listed = 1
+	}
 	if !v.seen {
 		s.order = append(s.order, host)
 		if s.listKnown && started <= 0 {
@@ -152,9 +155,8 @@
 		}
 		v.weight = listed
 	}
-	v.weight *= listed / math.Max(v.listed, 1e-9)
-	if !v.seen || v.listed <= 0 {
-		v.weight = listed
+	if v.seen {
+		v.weight *= listed / v.listed
 	}
 	v.seen, v.zone, v.phase, v.listed = true, zone, phase, listed
 	if started > 0 && started != v.started {
@@ -394,6 +396,13 @@
 	return g.ColdFrom + (1-g.ColdFrom)*math.Max(s.now-v.started, 0)/g.Cold
 }
 
+// capOf gives the arrival rate up to which a server meets the deadline d = 4 x median R, all but a part epsilon.
+func capOf(rate, r, median float64) float64 {
+	mu := rate + 1000/r
+	k := math.Abs(math.Log(epsilon) / (median4 * median) * 1000)
+	return math.Max(mu-k, mu*capLeast)
+}
+
 // shift is the design's mechanism: from the most overloaded server, min{excess, room, sender's rate} goes to the
 // roomiest, servers of the same zone first; with none over its cap the weights drift back.
 func (s *Steward) shift(w Writer, zones int) {
@@ -404,7 +413,6 @@
 		host        int
 		excess, can float64
 	}
-	k := math.Abs(math.Log(epsilon)) / (median4 * s.median) * 1000
 	var over, all []load
 	total, weights := 0.0, 0.0
 	for _, h := range s.order {
@@ -416,11 +424,9 @@
 		if s.now < v.hold || v.good+v.bad < 1 || v.r <= 0 {
 			continue
 		}
-		mu := v.rate + 1000/v.r
-		limit := math.Max(mu-k, mu*capLeast)
-		l := load{h, v.rate - limit, v.rate * (1 - floorPart*v.listed/math.Max(v.weight, 1e-9))}
+		l := load{h, v.rate - capOf(v.rate, v.r, s.median), v.rate * (1 - floorPart*v.listed/math.Max(v.weight, 1e-9))}
 		all = append(all, l)
-		if l.excess > 0 && l.can > 0 {
+		if l.excess > 0 && math.Min(l.excess, l.can) > worthTell*v.rate {
 			over = append(over, l)
 		}
 	}
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,216 @@
+package decide
+
+import (
+	"math"
+	"testing"
+)
+
+// alike gives every host the same sums.
+func alike(n int, s [3]float64) map[int][3]float64 {
+	m := map[int][3]float64{}
+	for h := range n {
+		m[h] = s
+	}
+	return m
+}
+
+// Cap by hand: d = 4 x 250 ms, K = ln 20 / 1 s = 2.996/s. At 10/s and 250 ms, mu = 14 and the cap 11.004; at 10/s and
+// 1 s, mu = 11 and the cap 8.004; at 1/s and 2 s, mu = 1.5 and half of it, 0.75, is more than mu - K.
+func TestCap(t *testing.T) {
+	b := &bench{}
+	for _, c := range [][2]float64{{10, 250}, {10, 1000}, {1, 2000}} {
+		limit := capOf(c[0], c[1], 250)
+		b.say("rate %.0f R %.0f: cap %.3f excess %.3f", c[0], c[1], limit, c[0]-limit)
+	}
+	b.check(t)
+}
+
+// The slow host 0 sheds to its own zone first, and its weight comes back when it is well again.
+func TestMoveAndDrift(t *testing.T) {
+	b := start(plain(), 4)
+	sums := alike(4, [3]float64{10, 0, 200})
+	b.run(5000, sums)
+	sums[0] = [3]float64{10, 0, 900}
+	b.run(9000, sums)
+	b.say("host 0 is well again")
+	sums[0] = [3]float64{10, 0, 200}
+	b.run(30000, sums)
+	b.check(t)
+}
+
+// A proxy that joins, or leaves and joins within a batch, is bound in the same round.
+func TestJoin(t *testing.T) {
+	b := start(plain(), 2)
+	b.quiet = false
+	b.Left(1)
+	b.Joined(1, 0, 3)
+	b.Round(1010, b)
+	b.Joined(0, 0, 3)
+	b.Left(0)
+	b.Round(1020, b)
+	b.check(t)
+}
+
+// Drained and removed hosts lose their lines at once, whatever marks are open.
+func TestDrain(t *testing.T) {
+	b := start(plain(), 4)
+	b.now = 1100
+	b.ListChange()
+	b.Entry(1, 1, Draining, 1, 0)
+	b.Round(b.now, b)
+	b.now = 1110
+	b.ListChange()
+	b.Entry(2, 0, Gone, 0, 0)
+	b.Round(b.now, b)
+	b.check(t)
+}
+
+// A host that restarts gets the least share it can surely do, and more only as it warms.
+func TestColdStart(t *testing.T) {
+	b := start(plain(), 3)
+	sums := alike(3, [3]float64{10, 0, 200})
+	b.run(3000, sums)
+	b.ListChange()
+	b.Entry(2, 0, Ready, 1, b.now-100)
+	b.Round(b.now, b)
+	b.run(12000, sums)
+	b.check(t)
+}
+
+// Where proxies shun, a cold host stays out of a fleet that refuses most tries.
+func TestColdInRefusingFleet(t *testing.T) {
+	set := plain()
+	set.Ejects = 3
+	b := start(set, 3)
+	b.run(3000, alike(3, [3]float64{50, 45, 900}))
+	b.ListChange()
+	b.Entry(2, 0, Ready, 1, b.now-100)
+	b.Round(b.now, b)
+	b.run(3000, alike(3, [3]float64{50, 45, 900}))
+	b.check(t)
+}
+
+// probes answers the probes of all hosts for a while: silent ones not at all.
+func (b *bench) probes(ms float64, sums map[int][3]float64, how func(h int) Outcome) {
+	for end := b.now + ms; b.now < end; {
+		for h := range b.servers {
+			if b.servers[h].probing {
+				b.Probed(h, how(h), 5, NoLoad)
+			}
+		}
+		b.run(200, sums)
+	}
+}
+
+// One host stops answering: probes and dry sums prove it; it comes back on trial.
+func TestSilentHost(t *testing.T) {
+	b := start(plain(), 6)
+	sums := alike(6, [3]float64{10, 0, 200})
+	b.probes(6000, sums, func(int) Outcome { return Fine })
+	delete(sums, 3)
+	b.say("host 3 falls silent")
+	b.probes(6000, sums, func(h int) Outcome {
+		if h == 3 {
+			return Silent
+		}
+		return Fine
+	})
+	b.say("host 3 answers again")
+	b.probes(8000, sums, func(int) Outcome { return Fine })
+	b.check(t)
+}
+
+// A busy host misses probes but fulfils: it stays.
+func TestBusyHostStays(t *testing.T) {
+	b := start(plain(), 6)
+	sums := alike(6, [3]float64{10, 0, 200})
+	b.probes(8000, sums, func(h int) Outcome {
+		if h == 3 {
+			return Silent
+		}
+		return Fine
+	})
+	b.check(t)
+}
+
+// All fall silent at once: an overload or a cut of our own, and the tables stay.
+func TestAllSilent(t *testing.T) {
+	b := start(plain(), 6)
+	b.probes(8000, map[int][3]float64{}, func(int) Outcome { return Silent })
+	b.check(t)
+}
+
+// One whole zone falls silent while the other answers: a cut or a lost zone, withdrawn as one.
+func TestCutZone(t *testing.T) {
+	b := start(plain(), 6)
+	sums := alike(6, [3]float64{10, 0, 200})
+	b.probes(3000, sums, func(int) Outcome { return Fine })
+	b.say("zone 1 is cut off")
+	b.probes(4000, sums, func(h int) Outcome {
+		if h%2 == 1 {
+			return Silent
+		}
+		return Fine
+	})
+	b.check(t)
+}
+
+// Cores are busy and tries fail: the class with the least earnings per work is lowered first, and further tries stop.
+func TestOverload(t *testing.T) {
+	b := start(plain(), 3)
+	for range 12 {
+		for h := range 3 {
+			b.Heard(h, 0, 30, 15, 900, 1000, Load{Util: 1, Queue: 20, Rate: -1})
+		}
+		b.Usage(0, 0, 50, 0, 1000)
+		b.Usage(0, 1, 40, 0, 1000)
+		b.run(1000, nil)
+	}
+	b.check(t)
+}
+
+// The list must be asked: a subscription at the start, and after failures again in growing steps.
+func TestAskForList(t *testing.T) {
+	set := plain()
+	set.MustAsk = true
+	b := start(set, 2)
+	for range 4 {
+		b.ListFailed()
+		b.run(6000, nil)
+	}
+	b.check(t)
+}
+
+// All proxies join at once on a slow channel: the lines that wait stay under the cap, and all are bound in the end.
+func TestManyJoin(t *testing.T) {
+	set := plain()
+	set.Proxies = 30
+	set.Channel.LinesPerS, set.Channel.MostWaiting = 200, 150
+	b := start(set, 8)
+	b.run(12000, nil)
+	b.check(t)
+}
+
+// Sums that stop, name unknown hosts or hold nothing leave the tables as they are, and give no odd figures.
+func TestOddRounds(t *testing.T) {
+	b := start(plain(), 3)
+	sums := alike(3, [3]float64{10, 0, 200})
+	b.run(4000, sums)
+	b.Heard(9, 1, 0, 0, 0, 0, NoLoad)
+	b.Heard(0, 0, 0, 5, 0, 0, NoLoad)
+	b.Usage(5, 0, 0, 0, 0)
+	b.Answered(4, 60000, 0)
+	b.Probed(8, Unreachable, 0, NoLoad)
+	b.run(3000, nil)
+	b.WholeList(false)
+	b.run(1000, sums)
+	b.WholeList(false)
+	b.Entry(0, 0, Ready, 0, 0)
+	b.run(3000, sums)
+	for h := range b.servers {
+		if v := &b.servers[h]; math.IsNaN(v.weight) || v.weight < 0 || math.IsInf(v.weight, 0) {
+			t.Errorf("host %d has weight %v", h, v.weight)
+		}
+	}
+	b.check(t)
+}
