--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	probePart  = 0.003
 	surprise   = 0.001 // the chance under which a row of unanswered probes proves a server silent
 	absences   = 2     // probes that found nothing in a row that prove a server gone
+	stormPart  = 0.8   // of the servers and of their tries that fail in a storm of repeats
 	shunned    = 0.1   // part of its failures in a row at which a cold server is kept out of a fleet that shuns
 	cutPart    = 0.75
 	trialPart  = 0.25
@@ -59,7 +60,7 @@
 	asked, missed    float64 // decayed: finished probes, and those of them that had no answer
 	dry              int     // report rounds in a row without a fulfilled try
 	absent           bool    // the last strike found nothing at all
-	out              bool    // withdrawn
+	out, rest        bool    // withdrawn; resting in a storm
 	part             float64
 	back             float64 // when the trial may take its next step
 	probing          bool
@@ -92,6 +93,8 @@
 	median, fulfilled              float64
 	came, newCame                  []float64
 	level                          float64
+	storm                          int
+	restEnd, stormNext             float64
 	levelHold                      float64
 	shares, toldShares             []float64
 	tries, toldTries               int
@@ -341,6 +344,8 @@
 	s.shift(w, s.set.Zones)
 	if s.set.Admits {
 		s.admit(w, s.set.Classes, s.set.Goal)
+	} else {
+		s.relieve(w, s.set.Classes)
 	}
 }
 
@@ -504,6 +509,45 @@
 	s.spread(classes, goal)
 }
 
+// relieve ends a storm of repeats where proxies heed no level: nearly every server fails nearly all tries, and the work
+// that clients gave up on keeps it so after the cause is gone. All but one server rest until the patience of every
+// class is over, then all return together with empty queues. It must not act on a cut or a hang, where some servers
+// fulfil; under a lasting lack of capacity it trades a steady failure for good spells.
+func (s *Steward) relieve(w Writer, classes []Class) {
+	n, failing, keep := 0, 0, -1
+	for _, h := range s.order {
+		v := &s.servers[h]
+		if v.good+v.bad >= 1 {
+			n++
+			if v.bad > (v.good+v.bad)*stormPart {
+				failing++
+			}
+		}
+		if s.serving(v) && (keep < 0 || v.listed > s.servers[keep].listed) {
+			keep = h
+		}
+	}
+	s.storm++
+	if s.fulfilled > 1-stormPart || float64(failing) < stormPart*float64(n) {
+		s.storm = 0
+	}
+	if s.storm < 2 || s.now < s.stormNext || keep < 0 {
+		return
+	}
+	rest := 0.0
+	for _, c := range classes {
+		rest = math.Max(rest, c.Patience)
+	}
+	s.restEnd = s.now + rest + s.set.Channel.Late
+	s.stormNext = s.restEnd + s.settle + s.gap
+	w.Log(fmt.Sprintf("storm: %d of %d hosts failing, fulfilled %.2f: all but host %d rest %.0f ms", failing, n, s.fulfilled,
+		keep, s.restEnd-s.now))
+	for _, h := range s.order {
+		v := &s.servers[h]
+		v.rest, v.weight, v.hold = h != keep, v.listed, s.restEnd+s.settle
+	}
+}
+
 // spread deals the level out to the classes: the least earnings per work go first, unless the worst-served class
 // weighs so much that cutting all evenly costs less. The due time stands for the work of a class, which is not told.
 func (s *Steward) spread(classes []Class, goal Goal) {
@@ -597,7 +641,7 @@
 
 // want is the weight that a server should have in the tables.
 func (s *Steward) want(v *server) float64 {
-	if v.phase != Ready || v.out {
+	if v.phase != Ready || v.out || v.rest && s.now < s.restEnd {
 		return 0
 	}
 	warm := s.warmth(v, s.set.Guard)
