--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,7 +29,7 @@
 	probePart  = 0.003
 	surprise   = 0.001 // the chance under which a row of unanswered probes proves a server silent
 	absences   = 2     // probes that found nothing in a row that prove a server gone
-	stormPart  = 0.8   // of the servers and of their tries that fail in a storm of repeats
+	stormPart  = 0.6   // of the servers and of their tries that fail in a storm of repeats
 	shunned    = 0.1   // part of its failures in a row at which a cold server is kept out of a fleet that shuns
 	cutPart    = 0.75
 	trialPart  = 0.25
@@ -527,6 +527,10 @@
 			keep = h
 		}
 	}
+	s.tries = 1
+	if s.fulfilled < 0.8 {
+		s.tries = 0
+	}
 	s.storm++
 	if s.fulfilled > 1-stormPart || float64(failing) < stormPart*float64(n) {
 		s.storm = 0
