--- a/decide/decide.go
+++ b/decide/decide.go
@@ -112,7 +112,7 @@
 		s.came, s.newCame = append(s.came, 0), append(s.newCame, 0)
 		s.shares, s.toldShares = append(s.shares, 1), append(s.toldShares, 1)
 	}
-	s.settle = set.Channel.LateMost + 2*set.Period + ackWait/2
+	s.settle = set.Channel.Late + 2*set.Period
 	return s
 }
 
