Never leave a table without a warm line; silence proves nothing in a failing fleet

Now withdrawals, rests and the care for cold hosts are passed over together when no warm line would be left; rests are bounded by half the bare limit; single hosts are not withdrawn for silence while under half of all tries are fulfilled. It also guards against any two defences that together empty a table.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -500,7 +500,7 @@
 	if s.level == was {
 		return
 	}
-	s.levelHold = s.now + s.settle + s.gap
+	s.levelHold = s.now + s.settle + s.gap + math.Min(slow, dueMean)
 	w.Log(fmt.Sprintf("level %.2f: busy %.2f, fulfilled %.2f, R %.0f of %.0f ms", s.level, busy, s.fulfilled, slow, dueMean))
 	s.tries = 1
 	if s.level < 1 {
@@ -542,7 +542,7 @@
 	for _, c := range classes {
 		rest = math.Max(rest, c.Patience)
 	}
-	s.restEnd = s.now + rest + s.set.Channel.Late
+	s.restEnd = s.now + math.Min(rest, s.set.Guard.Bare/2) + s.set.Channel.Late
 	s.stormNext = s.restEnd + s.settle + s.gap
 	w.Log(fmt.Sprintf("storm: %d of %d hosts failing, fulfilled %.2f: all but host %d rest %.0f ms", failing, n, s.fulfilled,
 		keep, s.restEnd-s.now))
@@ -603,7 +603,7 @@
 		}
 		cut := s.cut(v.zone)
 		chance := math.Max(missed/asked, (v.missed+missed/asked)/(v.asked+1))
-		proof := float64(v.strikes) >= math.Max(absences, math.Log(surprise)/math.Log(chance)) && silent*4 <= n+3 && v.dry > 0
+		proof := float64(v.strikes) >= math.Max(absences, math.Log(surprise)/math.Log(chance)) && silent*4 <= n+3 && v.dry > 0 && s.fulfilled > 0.5
 		proof = proof || (v.absent || cut) && v.strikes >= absences
 		if !v.out && proof && in-v.listed >= keepPart*listed*s.share() && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
@@ -643,9 +643,20 @@
 	return mine && other
 }
 
+// bare tells that withdrawals, rests and the care for cold servers together would leave no warm line. Then they are
+// all passed over: a host that may fail is better than none.
+func (s *Steward) bare() bool {
+	for _, h := range s.order {
+		if v := &s.servers[h]; s.warmth(v, s.set.Guard) >= 1 && s.want(v, false) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // want is the weight that a server should have in the tables.
-func (s *Steward) want(v *server) float64 {
-	if v.phase != Ready || v.out || v.rest && s.now < s.restEnd {
+func (s *Steward) want(v *server, bare bool) float64 {
+	if v.phase != Ready || !bare && (v.out || v.rest && s.now < s.restEnd) {
 		return 0
 	}
 	warm := s.warmth(v, s.set.Guard)
@@ -685,10 +696,11 @@
 	}
 	open := float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
 	var urgent, plain []int
+	bare := s.bare()
 	lines := 0
 	for _, h := range s.order {
 		v := &s.servers[h]
-		want := s.want(v)
+		want := s.want(v, bare)
 		if want > 0 {
 			lines++
 		}
@@ -697,7 +709,7 @@
 		}
 		cold := s.warmth(v, s.set.Guard) < 1
 		switch {
-		case want == 0 && v.told > 0, cold && want < v.told*0.9:
+		case want == 0 && v.told > 0, bare, cold && want < v.told*0.9:
 			urgent = append(urgent, h)
 		case math.Abs(want-v.told) > worthTell*math.Max(v.told, 0.1*v.listed):
 			plain = append(plain, h)
@@ -705,10 +717,10 @@
 	}
 	wrote := 0
 	if len(urgent) > 0 && room(0.9, len(urgent)) {
-		wrote += s.tell(w, urgent)
+		wrote += s.tell(w, urgent, bare)
 	}
 	if (open || s.mark == 0) && room(0.5, len(plain)) {
-		wrote += s.tell(w, plain)
+		wrote += s.tell(w, plain, bare)
 		wrote += s.tellLevels(w)
 	}
 	for i := range s.proxies {
@@ -739,10 +751,10 @@
 	w.Mark(s.mark)
 }
 
-func (s *Steward) tell(w Writer, hosts []int) int {
+func (s *Steward) tell(w Writer, hosts []int, bare bool) int {
 	for _, h := range hosts {
 		v := &s.servers[h]
-		v.told = s.want(v)
+		v.told = s.want(v, bare)
 		w.Line(0, h, v.told)
 	}
 	return len(hosts)
