--- a/decide/decide.go
+++ b/decide/decide.go
@@ -604,7 +604,7 @@
 		cut := s.cut(v.zone)
 		chance := math.Max(missed/asked, (v.missed+missed/asked)/(v.asked+1))
 		proof := float64(v.strikes) >= math.Max(absences, math.Log(surprise)/math.Log(chance)) && silent*4 <= n+3 && v.dry > 0 && s.fulfilled > 0.5
-		proof = proof || (v.absent || cut) && v.strikes >= absences
+		proof = proof || (v.absent || cut && v.dry > 0) && v.strikes >= absences
 		if !v.out && proof && in-v.listed >= keepPart*listed*s.share() && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
 			in -= v.listed
