--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,7 +32,7 @@
 	stormPart  = 0.6   // of the servers and of their tries that fail in a storm of repeats
 	shunned    = 0.1   // part of its failures in a row at which a cold server is kept out of a fleet that shuns
 	cutPart    = 0.75
-	trialPart  = 0.25
+	trialPart  = 0.4
 	keepPart   = 0.34 // of the listed weight that stays in the tables whatever the probes say
 	shedAbove  = 0.9
 	shedTo     = 0.85
@@ -90,7 +90,7 @@
 	wakeAt, heardAt, lastHeard     float64
 	heard                          bool
 	gap, settle                    float64
-	median, fulfilled, mean        float64 // median R; share of tries fulfilled; λ for each unit of weight
+	median, fulfilled              float64 // median R; share of tries fulfilled
 	came, newCame                  []float64
 	level                          float64
 	storm                          int
@@ -371,9 +371,7 @@
 		v.rateGood = v.rateGood*memory + float64(v.newGood)
 		good, all = good+float64(v.newGood), all+float64(v.newGood+v.newBad)
 		v.newGood, v.newBad, v.newTime, v.newSpan = 0, 0, 0, 0
-		if v.span == 0 {
-			v.r, v.rate = s.median, s.mean*v.weight
-		} else {
+		if v.span > 0 {
 			v.r = (v.time + (v.bad*median4+average)*s.median) / (v.good + v.bad + average)
 			v.rate = (v.good + v.bad) / v.span * 1000 / share
 			if v.qps >= 0 {
@@ -385,13 +383,6 @@
 		}
 	}
 	s.fulfilled = math.Min(good/all, 0.5*s.fulfilled+0.5*good/all)
-	total, weights := 0.0, 1e-9
-	for _, h := range s.order {
-		if v := &s.servers[h]; s.serving(v) && v.span > 0 {
-			total, weights = total+v.rate, weights+v.weight
-		}
-	}
-	s.mean = total / weights
 	if len(heard) > 0 {
 		sort.Float64s(heard)
 		s.median = heard[len(heard)/2]
@@ -620,7 +611,7 @@
 			w.Log(fmt.Sprintf("withdraw host %d: %d probes failed, absent %v, %.2f of the weight left", h, v.strikes,
 				v.absent, in/listed))
 		} else if v.out && v.fine >= 2 {
-			v.out, v.back, v.hold = false, s.now+1500, s.now+s.settle
+			v.out, v.back, v.hold, v.r = false, s.now+1500, s.now+s.settle, s.median
 			in += v.listed
 			if v.absent {
 				v.started, v.part = s.now, 1
