--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,7 +16,7 @@
 const (
 	tick       = 200.0 // ms between rounds of periodic work
 	epsilon    = 0.05  // share of transactions that may miss the deadline d
-	median4    = 4.0   // deadline d as a multiple of the median response time
+	dMedians   = 3.0   // deadline d as a multiple of the median response time: a median server is just at its cap
 	capLeast   = 0.5   // the cap is never under this part of the service rate
 	floorPart  = 0.1   // a server keeps this part of its listed share
 	driftPart  = 0.05  // of the way back to the listed weight, each report round
@@ -24,8 +24,8 @@
 	average    = 6.0   // answers of average time that each server is taken to have given besides
 	ackPart    = 0.8   // of the proxies that answered a mark: the next changes may go
 	ackWait    = 2000.0
-	worthTell  = 0.1 // relative change of a weight that is worth a line
-	slowest    = 0.5 // the channel is taken to run at this part of its pace
+	worthTell  = 0.06 // relative change of a weight that is worth a line
+	slowest    = 0.5  // the channel is taken to run at this part of its pace
 	probePart  = 0.003
 	surprise   = 0.001 // the chance under which a row of unanswered probes proves a server silent
 	absences   = 2     // probes that found nothing in a row that prove a server gone
@@ -372,7 +372,7 @@
 		good, all = good+float64(v.newGood), all+float64(v.newGood+v.newBad)
 		v.newGood, v.newBad, v.newTime, v.newSpan = 0, 0, 0, 0
 		if v.span > 0 {
-			v.r = (v.time + (v.bad*median4+average)*s.median) / (v.good + v.bad + average)
+			v.r = (v.time + (v.bad*dMedians+average)*s.median) / (v.good + v.bad + average)
 			v.rate = (v.good + v.bad) / v.span * 1000 / share
 			if v.qps >= 0 {
 				v.rate = math.Max(v.qps, v.rate*0.5)
@@ -404,7 +404,7 @@
 // capOf gives the arrival rate up to which a server meets the deadline d = 4 x median R, all but a part epsilon.
 func capOf(rate, r, median float64) float64 {
 	mu := rate + 1000/r
-	k := math.Abs(math.Log(epsilon) / (median4 * median) * 1000)
+	k := math.Abs(math.Log(epsilon) / (dMedians * median) * 1000)
 	return math.Max(mu-k, mu*capLeast)
 }
 
