--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,7 +16,7 @@
 const (
 	tick       = 200.0 // ms between rounds of periodic work
 	epsilon    = 0.05  // share of transactions that may miss the deadline d
-	dMedians   = 3.0   // deadline d as a multiple of the median response time: a median server is just at its cap
+	dMedians   = 3.2   // deadline d as a multiple of the median response time: a median server has a little room
 	capLeast   = 0.5   // the cap is never under this part of the service rate
 	floorPart  = 0.1   // a server keeps this part of its listed share
 	driftPart  = 0.05  // of the way back to the listed weight, each report round
