--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,7 @@
 	floorPart  = 0.1   // a server keeps this part of its listed share
 	driftPart  = 0.05  // of the way back to the listed weight, each report round
 	memory     = 0.8   // what earlier sums count for after a report round
-	average    = 6.0   // answers of average time that each server is taken to have given besides
+	average    = 4.0   // answers of average time that each server is taken to have given besides
 	ackPart    = 0.8   // of the proxies that answered a mark: the next changes may go
 	ackWait    = 2000.0
 	worthTell  = 0.06 // relative change of a weight that is worth a line
@@ -360,7 +360,7 @@
 		if v.newGood > 0 {
 			v.dry = 0
 		}
-		if s.now < v.hold {
+		if s.now < v.hold-s.set.Period {
 			v.good, v.bad, v.time, v.span = 0, 0, 0, 0
 		} else {
 			v.good = v.good*memory + float64(v.newGood)
