--- a/decide/decide.go
+++ b/decide/decide.go
@@ -94,6 +94,7 @@
 	came, newCame                  []float64
 	level                          float64
 	storm                          int
+	zoneBack                       []bool // a proxy of the zone has joined since the last round
 	restEnd, stormNext             float64
 	levelHold                      float64
 	shares, toldShares             []float64
@@ -112,6 +113,7 @@
 		s.came, s.newCame = append(s.came, 0), append(s.newCame, 0)
 		s.shares, s.toldShares = append(s.shares, 1), append(s.toldShares, 1)
 	}
+	s.zoneBack = make([]bool, max(set.Zones, 1))
 	s.settle = set.Channel.Late + 2*set.Period
 	return s
 }
@@ -171,6 +173,7 @@
 // Joined notes that a proxy's stream stands.
 func (s *Steward) Joined(p, zone int, usual float64) {
 	*s.proxy(p) = proxy{zone: zone, usual: usual, joined: true}
+	s.zoneBack[zone] = true
 }
 
 // Left notes that a proxy's stream broke.
@@ -610,8 +613,9 @@
 			in -= v.listed
 			w.Log(fmt.Sprintf("withdraw host %d: %d probes failed, absent %v, %.2f of the weight left", h, v.strikes,
 				v.absent, in/listed))
-		} else if v.out && v.fine >= 2 {
-			v.out, v.back, v.hold, v.r = false, s.now+1500, s.now+s.settle, s.median
+		} else if v.out && (v.fine >= 2 || s.zoneBack[v.zone] && !v.absent) {
+			// A proxy that joins from a cut-off zone proves the way there; its traffic must not all go elsewhere.
+			v.strikes, v.out, v.back, v.hold, v.r = 0, false, s.now+1000, s.now+s.settle, s.median
 			in += v.listed
 			if v.absent {
 				v.started, v.part = s.now, 1
@@ -621,6 +625,7 @@
 			v.part, v.back = math.Min(1, v.part*2), s.now+1000
 		}
 	}
+	clear(s.zoneBack)
 }
 
 // cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the same time,
