--- a/decide/decide.go
+++ b/decide/decide.go
@@ -607,7 +607,7 @@
 		cut := s.cut(v.zone)
 		chance := math.Max(missed/asked, (v.missed+missed/asked)/(v.asked+1))
 		proof := float64(v.strikes) >= math.Max(absences, math.Log(surprise)/math.Log(chance)) && silent*4 <= n+3 && v.dry > 0 && s.fulfilled > 0.5
-		proof = proof || (v.absent || cut) && v.strikes >= absences
+		proof = proof || (v.absent || cut && v.dry > 0) && v.strikes >= absences
 		if !v.out && proof && in-v.listed >= keepPart*listed*s.share() && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
 			in -= v.listed
@@ -628,33 +628,21 @@
 	clear(s.zoneBack)
 }
 
-// cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the same time and
-// fulfil nothing, or its proxies have left, while nearly all servers of some other zone answer. It also fits a lost zone.
+// cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the same time,
+// while nearly all of some other zone answer. It also fits a lost zone that says nothing.
 func (s *Steward) cut(zone int) bool {
 	mine, other := false, false
 	for z := range s.set.Zones {
-		n, silent, dry, known, left := 0.0, 0.0, 0.0, 0.0, 0.0
+		n, silent := 0.0, 0.0
 		for _, h := range s.order {
 			if v := &s.servers[h]; v.zone == z && v.phase == Ready {
 				n++
 				if v.strikes >= absences {
 					silent++
 				}
-				if v.dry > 0 {
-					dry++
-				}
-			}
-		}
-		for i := range s.proxies {
-			if p := &s.proxies[i]; p.zone == z && p.usual > 0 {
-				known++
-				if !p.joined {
-					left++
-				}
 			}
 		}
-		gone := dry >= cutPart*n || known > 0 && left >= cutPart*known
-		mine = mine || z == zone && n > 1 && silent >= cutPart*n && gone
+		mine = mine || z == zone && n > 1 && silent >= cutPart*n
 		other = other || z != zone && n > 0 && silent <= (1-cutPart)*n
 	}
 	return mine && other
