--- a/decide/decide.go
+++ b/decide/decide.go
@@ -503,7 +503,7 @@
 	if s.level == was {
 		return
 	}
-	s.levelHold = s.now + s.settle + s.gap + math.Min(slow, dueMean)
+	s.levelHold = s.now + s.settle + s.gap
 	w.Log(fmt.Sprintf("level %.2f: busy %.2f, fulfilled %.2f, R %.0f of %.0f ms", s.level, busy, s.fulfilled, slow, dueMean))
 	s.tries = 1
 	if s.level < 1 {
@@ -545,7 +545,8 @@
 	for _, c := range classes {
 		rest = math.Max(rest, c.Patience)
 	}
-	s.restEnd = s.now + math.Min(rest, s.set.Guard.Bare/2) + s.set.Channel.Late
+	rest = math.Min(rest, s.set.Guard.Bare/2)
+	s.restEnd = math.Ceil(s.now/rest+0.5)*rest + s.set.Channel.Late
 	s.stormNext = s.restEnd + s.settle + s.gap
 	w.Log(fmt.Sprintf("storm: %d of %d hosts failing, fulfilled %.2f: all but host %d rest %.0f ms", failing, n, s.fulfilled,
 		keep, s.restEnd-s.now))
