--- a/decide/decide.go
+++ b/decide/decide.go
@@ -545,8 +545,7 @@
 	for _, c := range classes {
 		rest = math.Max(rest, c.Patience)
 	}
-	rest = math.Min(rest, s.set.Guard.Bare/2)
-	s.restEnd = math.Ceil(s.now/rest+0.5)*rest + s.set.Channel.Late
+	s.restEnd = s.now + math.Min(rest, s.set.Guard.Bare/2) + s.set.Channel.Late
 	s.stormNext = s.restEnd + s.settle + s.gap
 	w.Log(fmt.Sprintf("storm: %d of %d hosts failing, fulfilled %.2f: all but host %d rest %.0f ms", failing, n, s.fulfilled,
 		keep, s.restEnd-s.now))
