--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -113,26 +113,22 @@
 		inst.zones[z] = i
 	}
 	f, r := &s.FamilyInfo, &s.Rules
-	set := decide.Settings{
-		Index: *s.Index, Instances: *s.Instances, Zones: len(s.FailureDomains), Proxies: *f.DataPlaneSize, Seed: *e.Prng,
-		Channel: decide.Channel{LinesPerS: *f.ChannelRate, Head: *f.PerMessage, MostWaiting: *f.MostWaiting,
-			Late: f.LateUs / 1000, LateMost: math.Max(f.LateUs, f.PushDelayMaxUs) / 1000,
-			MessagesMost: f.MessagesMost, MessagesOver: f.UpdateWindowUs / 1000},
-		Guard: decide.Guard{Bare: *f.BareUs / 1000, Grace: *r.StopSendingWithinUs / 1000, ColdFrom: *r.ColdFrom,
-			Cold: *r.ColdUs / 1000, FallMultiple: *r.FallMultiple, FallT: *r.FallUs / 1000},
-		Goal: decide.Goal{Whole: s.ScoreParts.Whole + s.ScoreParts.WorstWindow, WorstClass: s.ScoreParts.WorstClass,
-			ProbePrice: s.Prices.Probe},
-		Period: *f.IntervalUs / 1000, UsualTries: f.RetryDefault, Ejects: f.Ejects, Admits: f.Admission == wire.AdmitShare,
-		MayProbe: s.Limits.MayProbe, MustAsk: s.Discovery == wire.Subscribed,
-	}
-	effects := map[string]decide.Effect{wire.Idempotent: decide.Safe, wire.Deduplicated: decide.Keyed, wire.AtMostOnce: decide.Once}
+	var classes []decide.Class
 	for i, c := range s.Services {
 		inst.classes[c.Name] = i
-		set.Classes = append(set.Classes, decide.Class{Due: *c.AimUs / 1000, Patience: *c.HardLimitUs / 1000,
-			Earnings: *c.Value, Effect: effects[c.Effect], Wide: c.KeyScope == wire.EveryHost,
-			Local: i < len(f.StaysLocal) && f.StaysLocal[i]})
+		classes = append(classes, decide.Class{Due: *c.AimUs / 1000, Patience: *c.HardLimitUs / 1000,
+			Earnings: *c.Value, Local: i < len(f.StaysLocal) && f.StaysLocal[i]})
 	}
-	inst.steward = decide.New(set)
+	inst.steward = decide.New(
+		decide.Fleet{Instances: *s.Instances, Zones: len(s.FailureDomains), Proxies: *f.DataPlaneSize, Seed: *e.Prng,
+			Period: *f.IntervalUs / 1000, Ejects: f.Ejects, UsualTries: f.RetryDefault,
+			Admits: f.Admission == wire.AdmitShare, MayProbe: s.Limits.MayProbe, MustAsk: s.Discovery == wire.Subscribed},
+		classes,
+		decide.Channel{LinesPerS: *f.ChannelRate, Head: *f.PerMessage, MostWaiting: *f.MostWaiting, Late: f.LateUs / 1000,
+			MessagesMost: f.MessagesMost, MessagesOver: f.UpdateWindowUs / 1000},
+		decide.Guard{Bare: *f.BareUs / 1000, ColdFrom: *r.ColdFrom, Cold: *r.ColdUs / 1000},
+		decide.Goal{Whole: s.ScoreParts.Whole + s.ScoreParts.WorstWindow, WorstClass: s.ScoreParts.WorstClass,
+			ProbePrice: s.Prices.Probe})
 	return inst, nil
 }
 
@@ -159,7 +155,7 @@
 	"withdrawn": decide.Refused, "void": decide.Refused}
 
 func load(e *wire.Event) decide.Load {
-	return decide.Load{Util: e.Value("util"), Queue: e.Value("queue"), Rate: e.Value("qps")}
+	return decide.Load{Util: e.Value("util"), Rate: e.Value("qps")}
 }
 
 // note turns one event into its call on the module.
@@ -202,31 +198,28 @@
 		if err != nil {
 			return err
 		}
-		s.Joined(int(*e.Px), zone, *e.W)
+		s.Joined(int(*e.Px), zone)
 	case wire.Disconnected:
 		s.Left(int(*e.Px))
 	case wire.Installed:
-		s.Answered(int(*e.Px), int(*e.Number), ms(e.CostTimeUs))
+		s.Answered(int(*e.Number))
 	case wire.Stats:
-		zone, err := place("zone", e, n.zones, e.Area)
-		if err != nil {
+		if _, err := place("zone", e, n.zones, e.Area); err != nil {
 			return err
 		}
-		s.Heard(n.host(*e.Host), zone, int(*e.Count), int(*e.Errors), ms(e.CostTimeUs), ms(e.WindowUs), load(e))
+		s.Heard(n.host(*e.Host), int(*e.Count), int(*e.Errors), ms(e.CostTimeUs), ms(e.WindowUs), load(e))
 	case wire.Arrivals:
 		class, err := place("class", e, n.classes, e.Kind)
 		if err != nil {
 			return err
 		}
-		s.Usage(int(*e.Px), class, int(*e.Count), int(*e.Errors), ms(e.WindowUs))
+		s.Usage(class, int(*e.Count))
 	case wire.Health:
 		how, ok := outcomes[*e.Ending]
 		if !ok {
 			return fmt.Errorf("Health: field Ending has the unknown value %q", *e.Ending)
 		}
-		s.Probed(n.host(*e.Host), how, ms(e.CostTimeUs), load(e))
-	case wire.Alarm:
-		s.Woken()
+		s.Probed(n.host(*e.Host), how, load(e))
 	}
 	return nil
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -43,9 +43,9 @@
 	b := start(plain(), 2)
 	b.quiet = false
 	b.Left(1)
-	b.Joined(1, 0, 3)
+	b.Joined(1, 0)
 	b.Round(1010, b)
-	b.Joined(0, 0, 3)
+	b.Joined(0, 0)
 	b.Left(0)
 	b.Round(1020, b)
 	b.check(t)
@@ -95,7 +95,7 @@
 	for end := b.now + ms; b.now < end; {
 		for h := range b.servers {
 			if b.servers[h].probing {
-				b.Probed(h, how(h), 5, NoLoad)
+				b.Probed(h, how(h), NoLoad)
 			}
 		}
 		b.run(200, sums)
@@ -160,10 +160,10 @@
 	b := start(plain(), 3)
 	for range 12 {
 		for h := range 3 {
-			b.Heard(h, 0, 30, 15, 900, 1000, Load{Util: 1, Queue: 20, Rate: -1})
+			b.Heard(h, 30, 15, 900, 1000, Load{Util: 1, Rate: -1})
 		}
-		b.Usage(0, 0, 50, 0, 1000)
-		b.Usage(0, 1, 40, 0, 1000)
+		b.Usage(0, 50)
+		b.Usage(1, 40)
 		b.run(1000, nil)
 	}
 	b.check(t)
@@ -196,11 +196,11 @@
 	b := start(plain(), 3)
 	sums := alike(3, [3]float64{10, 0, 200})
 	b.run(4000, sums)
-	b.Heard(9, 1, 0, 0, 0, 0, NoLoad)
-	b.Heard(0, 0, 0, 5, 0, 0, NoLoad)
-	b.Usage(5, 0, 0, 0, 0)
-	b.Answered(4, 60000, 0)
-	b.Probed(8, Unreachable, 0, NoLoad)
+	b.Heard(9, 0, 0, 0, 0, NoLoad)
+	b.Heard(0, 0, 5, 0, 0, NoLoad)
+	b.Usage(0, 0)
+	b.Answered(60000)
+	b.Probed(8, Unreachable, NoLoad)
 	b.run(3000, nil)
 	b.WholeList(false)
 	b.run(1000, sums)
--- a/decide/helper_test.go
+++ b/decide/helper_test.go
@@ -48,24 +48,32 @@
 func (b *bench) Watch()          { b.say("watch the list") }
 func (b *bench) Log(text string) { b.say("log: %s", text) }
 
-// settings of a plain deployment; a case changes what it is about.
-func plain() Settings {
-	return Settings{Instances: 1, Zones: 2, Proxies: 2, Seed: 7,
-		Classes: []Class{{Due: 1000, Patience: 3000, Earnings: 1}, {Due: 500, Patience: 1500, Earnings: 5, Effect: Keyed}},
-		Channel: Channel{LinesPerS: 10000, Head: 5, MostWaiting: 10000, Late: 200, LateMost: 500, MessagesOver: 10000},
-		Guard:   Guard{Bare: 5000, Grace: 2000, ColdFrom: 0.2, Cold: 10000, FallMultiple: 4, FallT: 2000},
-		Goal:    Goal{Whole: 0.9, WorstClass: 0.1, ProbePrice: 0.02}, Period: 1000, UsualTries: 1, Admits: true, MayProbe: true}
+// deployment holds the settings of a plain one; a case changes what it is about.
+type deployment struct {
+	Fleet
+	classes []Class
+	Channel
+	Guard
+	Goal
+}
+
+func plain() deployment {
+	return deployment{
+		Fleet{Instances: 1, Zones: 2, Proxies: 2, Seed: 7, Period: 1000, UsualTries: 1, Admits: true, MayProbe: true},
+		[]Class{{Due: 1000, Patience: 3000, Earnings: 1}, {Due: 500, Patience: 1500, Earnings: 5}},
+		Channel{LinesPerS: 10000, Head: 5, MostWaiting: 10000, Late: 200, MessagesOver: 10000},
+		Guard{Bare: 5000, ColdFrom: 0.2, Cold: 10000}, Goal{Whole: 0.9, WorstClass: 0.1, ProbePrice: 0.02}}
 }
 
 // start lists n ready hosts of weight 1, the even ones in zone 0, and joins the proxies.
-func start(set Settings, n int) *bench {
-	b := &bench{Steward: New(set), now: 1000, quiet: true}
+func start(set deployment, n int) *bench {
+	b := &bench{Steward: New(set.Fleet, set.classes, set.Channel, set.Guard, set.Goal), now: 1000, quiet: true}
 	b.WholeList(true)
 	for h := range n {
 		b.Entry(h, h%2, Ready, 1, 0)
 	}
 	for p := range set.Proxies {
-		b.Joined(p, p%2, 10)
+		b.Joined(p, p%2)
 	}
 	b.Round(b.now, b)
 	b.WholeList(false)
@@ -83,14 +91,13 @@
 		if int(b.now)%1000 == 0 {
 			for h := range b.servers {
 				if s, ok := sums[h]; ok {
-					b.Heard(h, 0, int(s[0]), int(s[1]), s[2], 1000, NoLoad)
+					b.Heard(h, int(s[0]), int(s[1]), s[2], 1000, NoLoad)
 				}
 			}
 		}
-		for p := range b.proxies {
-			b.Answered(p, b.marks, 100)
+		for range b.proxies {
+			b.Answered(b.marks)
 		}
-		b.Woken()
 		b.Round(b.now, b)
 	}
 }
--- a/decide/steward.go
+++ b/decide/steward.go
@@ -1,17 +1,7 @@
 // Package decide is the steward's decision module. This file is its interface: the plain setting types and the
-// Writer that takes the answers. Every decision is in decide.go.
+// Writer that takes the answers. Every decision is in decide.go. Times are in milliseconds.
 package decide
 
-// Effect says what a repeat of a transaction can do.
-type Effect int
-
-// Repeats are harmless, are dropped by some hosts for a while, or must never happen.
-const (
-	Safe Effect = iota
-	Keyed
-	Once
-)
-
 // Phase is what the list says of a host.
 type Phase int
 
@@ -33,55 +23,49 @@
 	Unreachable
 )
 
-// Class of transactions. Times are in milliseconds.
+// Class of transactions.
 type Class struct {
 	Due, Patience, Earnings float64
-	Effect                  Effect
-	Wide                    bool // every host drops a repeat, not only the hosts of one group
 	Local                   bool // only hosts in the proxy's own zone may take it
 }
 
-// Channel is the way of a steward's orders to its proxies; see the settings of the same names on the wire.
+// Channel is the way of a steward's orders to its proxies.
 type Channel struct {
-	LinesPerS, Head, MostWaiting float64
-	Late, LateMost               float64
-	MessagesMost                 int
+	LinesPerS, Head, MostWaiting float64 // pace; lines that a message costs besides its own; lines that may wait
+	Late                         float64 // mean way of a message
+	MessagesMost                 int     // messages to a proxy within MessagesOver; 0: no limit
 	MessagesOver                 float64
 }
 
-// Guard holds the figures of the rules.
+// Guard holds the figures of the rules that the decisions need.
 type Guard struct {
-	Bare, Grace         float64
-	ColdFrom, Cold      float64
-	FallMultiple, FallT float64
+	Bare           float64 // a proxy may have no line for so long
+	ColdFrom, Cold float64 // the part of its capacity a host starts with; the time until it is warm
 }
 
-// Goal weighs what the deployment counts, and what it charges.
+// Goal weighs what the deployment counts, and what a probe costs.
 type Goal struct {
 	Whole, WorstClass, ProbePrice float64
 }
 
-// Settings is what an instance is told at its start. Each part of the module takes only what it needs of it.
-type Settings struct {
-	Index, Instances, Zones, Proxies int
-	Seed                             uint64
-	Classes                          []Class
-	Channel                          Channel
-	Guard                            Guard
-	Goal                             Goal
-	Period                           float64 // the sums come this often
-	Ejects                           int     // a proxy shuns a host after so many failures of its own in a row; 0: never
-	UsualTries                       int     // the proxies' way of trying again where none is set
-	Admits, MayProbe, MustAsk        bool
+// Fleet is what an instance is told of its surroundings.
+type Fleet struct {
+	Instances, Zones, Proxies int
+	Seed                      uint64
+	Period                    float64 // the sums come this often
+	Ejects                    int     // a proxy shuns a host after so many failures of its own in a row; 0: never
+	UsualTries                int     // the proxies' way of trying again where none is set
+	Admits                    bool    // levels, as shares, are heeded
+	MayProbe, MustAsk         bool    // probes are allowed; the list must be asked
 }
 
 // Load is what a host reports of itself; a value below 0 was not reported.
 type Load struct {
-	Util, Queue, Rate float64
+	Util, Rate float64
 }
 
 // NoLoad reports nothing.
-var NoLoad = Load{-1, -1, -1}
+var NoLoad = Load{-1, -1}
 
 // Writer takes the decisions of a round. Hosts and proxies go by the small indices they were noted with; bit k of
 // classes is class k, and 0 stands for all of them.
