--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -1,5 +1,5 @@
-// Command drill runs decision modules on the simulator's wire: what it reads becomes calls on the module of the
-// instance concerned, and the module's answers become messages.
+// Command drill runs decision modules on the simulator's wire: what it reads becomes calls on the module of
+// the instance concerned, and the module's answers become messages.
 package main
 
 import (
@@ -13,7 +13,8 @@
 	"barleysail/internal/wire"
 )
 
-// instance is one steward with the ids that it knows, mapped to small indices in the order they were first met.
+// instance is one steward with the ids that it knows, mapped to small indices in the order they were first
+// met.
 type instance struct {
 	number  int
 	steward *decide.Steward
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,8 +1,10 @@
-// All decisions of barleysail are in this file; the interface (settings, Writer) is in steward.go beside it.
+// All decisions of barleysail are in this file; the interface (settings, Writer) is in steward.go beside
+// it.
 //
-// The caller makes one Steward an instance with New, notes what came in (WholeList or ListChange and Entry, Joined,
-// Left, Heard, Usage, Answered, Probed), and then calls Round once a batch, also when the timer asked for by Wake is
-// due. Noting only records; Round decides and writes orders to the Writer. Hosts and proxies are small indices.
+// The caller makes one Steward an instance with New, notes what came in (WholeList or ListChange and Entry,
+// Joined, Left, Heard, Usage, Answered, Probed), and then calls Round once a batch, also when the timer
+// asked for by Wake is due. Noting only records; Round decides and writes orders to the Writer. Hosts and
+// proxies are small indices.
 package decide
 
 import (
@@ -51,7 +53,8 @@
 	phase           Phase
 	seen            bool    // on a list
 	listed, started float64 // listed weight; last known start, or -1 where that is long ago
-	weight, told    float64 // where the moves have put it, in units of the listed weight; what the tables hold
+	weight          float64 // where the moves have put it, as a listed weight
+	wanted, told    float64 // what the tables should hold, and do
 	fresh, past     sums    // since the last report round; faded sums of the rounds before
 	util, qps       float64 // as last reported, or -1
 	rate, r         float64 // λ and R
@@ -123,8 +126,9 @@
 
 // New makes the steward of an instance that has just started.
 func New(fleet Fleet, classes []Class, channel Channel, guard Guard, goal Goal) *Steward {
-	s := &Steward{fleet: fleet, classes: classes, channel: channel, guard: guard, goal: goal, wakeAt: -1, heardAt: -1,
-		level: 1, tries: 1, toldTries: fleet.UsualTries, fulfilled: 1, settle: channel.Late + 2*fleet.Period}
+	s := &Steward{fleet: fleet, classes: classes, channel: channel, guard: guard, goal: goal, wakeAt: -1,
+		heardAt: -1, level: 1, tries: 1, toldTries: fleet.UsualTries, fulfilled: 1}
+	s.settle = channel.Late + 2*fleet.Period
 	n := len(classes)
 	s.came, s.newCame = make([]float64, n), make([]float64, n)
 	s.shares, s.toldShares, s.zoneBack = make([]float64, n), make([]float64, n), make([]bool, fleet.Zones)
@@ -181,8 +185,8 @@
 	v.weight *= listed / v.listed
 	v.seen, v.zone, v.phase, v.listed = true, zone, phase, listed
 	if started > 0 && started != v.started {
-		*v = server{zone: zone, phase: phase, seen: true, listed: listed, started: started, weight: listed, r: s.median,
-			told: v.told, util: -1, qps: -1, probing: v.probing, part: 1}
+		*v = server{zone: zone, phase: phase, seen: true, listed: listed, started: started, weight: listed,
+			r: s.median, told: v.told, util: -1, qps: -1, probing: v.probing, part: 1}
 	}
 }
 
@@ -200,7 +204,8 @@
 	v := s.server(host)
 	good := float64(max(tries-failed, 0))
 	f := &v.fresh
-	f.good, f.bad, f.time, f.span = f.good+good, f.bad+float64(failed), f.time+mean*good, math.Max(f.span, span)
+	f.good, f.bad, f.time = f.good+good, f.bad+float64(failed), f.time+mean*good
+	f.span = math.Max(f.span, span)
 	v.note(load)
 	s.heard = true
 }
@@ -317,8 +322,8 @@
 	return math.Min(math.Max(every, 500), 2000)
 }
 
-// follow keeps the subscription to the list where the list must be asked. A failed call is repeated after a wait that
-// doubles up to a bound, with some chance in it so that stewards do not ask in step.
+// follow keeps the subscription to the list where the list must be asked. A failed call is repeated after a
+// wait that doubles up to a bound, with some chance in it so that stewards do not ask in step.
 func (s *Steward) follow(w Writer) {
 	if s.wakeAt < 0 {
 		w.Watch()
@@ -343,13 +348,7 @@
 	for c := range s.came {
 		s.came[c], s.newCame[c] = s.came[c]*memory+s.newCame[c], 0
 	}
-	joined := 0
-	for i := range s.proxies {
-		if s.proxies[i].joined {
-			joined++
-		}
-	}
-	s.estimate(math.Max(float64(joined), 1)/float64(s.fleet.Proxies), period)
+	s.estimate(s.share(s.fleet.Proxies), period)
 	s.shift()
 	if s.fleet.Admits {
 		s.admit(w, s.classes, s.goal)
@@ -358,9 +357,21 @@
 	}
 }
 
-// estimate brings λ and R of each server up to date. λ is the whole rate: as reported, else our own sums over our
-// share of the proxies. A failed try counts as one that took the deadline d, so that quick errors and few answers never
-// read as room; it stays out of the median. Average answers keep a noisy R of few answers from faking overload.
+// share is the part of all proxies that are joined here.
+func (s *Steward) share(all int) float64 {
+	n := 0
+	for i := range s.proxies {
+		if s.proxies[i].joined {
+			n++
+		}
+	}
+	return float64(max(n, 1)) / float64(all)
+}
+
+// estimate brings λ and R of each server up to date. λ is the whole rate: as reported, else our own sums
+// over our share of the proxies. A failed try counts as one that took the deadline d, so that quick errors
+// and few answers never read as room; it stays out of the median. Average answers keep a noisy R of few
+// answers from faking overload.
 func (s *Steward) estimate(share, period float64) {
 	var heard []float64
 	good, all := 1.0, 1.0
@@ -415,9 +426,10 @@
 	return math.Max(mu-k, mu*capLeast)
 }
 
-// shift is the design's mechanism: from the most overloaded server, min{excess, room, sender's rate} goes to the
-// roomiest, servers of the same zone first; with none over its cap the weights drift back. Both sides of a move then
-// wait until it shows. A move too small to tell is left, since it would only hold up the next.
+// shift is the design's mechanism: from the most overloaded server, min{excess, room, sender's rate} goes
+// to the roomiest, servers of the same zone first; with none over its cap the weights drift back. Both
+// sides of a move then wait until it shows. A move too small to tell is left, since it would only hold up
+// the next.
 func (s *Steward) shift() {
 	type load struct {
 		v           *server
@@ -465,8 +477,9 @@
 	}
 }
 
-// admit sets how much is let in. Only measured overload lowers it: busy cores, together with failed tries or response
-// times that eat up the due time. A step down follows the part of the tries fulfilled, a step up the idle cores.
+// admit sets how much is let in. Only measured overload lowers it: busy cores, together with failed tries
+// or response times that eat up the due time. A step down follows the part of the tries fulfilled, a step
+// up the idle cores.
 func (s *Steward) admit(w Writer, classes []Class, goal Goal) {
 	busy, n, good, slow, came, dueTime := 0.0, 0.0, 1e-9, 0.0, 1e-9, 0.0
 	for _, h := range s.order {
@@ -493,15 +506,18 @@
 		return
 	}
 	s.levelHold = s.now + s.settle + s.gap
-	w.Log(fmt.Sprintf("level %.2f: busy %.2f, fulfilled %.2f, R %.0f of %.0f ms", s.level, busy, s.fulfilled, slow, dueTime))
+	w.Log(fmt.Sprintf("level %.2f: busy %.2f, fulfilled %.2f, R %.0f of %.0f ms", s.level, busy, s.fulfilled,
+		slow, dueTime))
 	s.tries = int(s.level) // none while less than all is let in
 	s.spread(classes, goal)
 }
 
-// spread deals the level out to the classes: the least earnings per work go first, unless the worst-served class
-// weighs so much that cutting all evenly costs less. The due time stands for the work of a class, which is not told.
+// spread deals the level out to the classes: the least earnings per work go first, unless the worst-served
+// class weighs so much that cutting all evenly costs less. The due time stands for the work of a class,
+// which is not told.
 func (s *Steward) spread(classes []Class, goal Goal) {
-	work, earn, order := make([]float64, len(classes)), make([]float64, len(classes)), make([]int, len(classes))
+	n := len(classes)
+	work, earn, order := make([]float64, n), make([]float64, n), make([]int, n)
 	allWork, allEarn := 1e-9, 1e-9
 	for c, k := range classes {
 		n := s.came[c] + 1
@@ -512,7 +528,7 @@
 		return earn[order[i]]*work[order[j]] < earn[order[j]]*work[order[i]]
 	})
 	low, cut := order[0], (1-s.level)*allWork
-	cost := (goal.Whole*earn[low]/allEarn + goal.WorstClass) / (work[low] / allWork) // evenly: the sum of both weights
+	cost := (goal.Whole*earn[low]/allEarn + goal.WorstClass) * allWork / work[low]
 	for _, c := range order {
 		s.shares[c] = s.level
 		if cost < goal.Whole+goal.WorstClass {
@@ -522,10 +538,11 @@
 	}
 }
 
-// relieve ends a storm of repeats where proxies heed no level: nearly every server fails nearly all tries, and the work
-// that clients gave up on keeps it so after the cause is gone. All but one server rest until the patience of every
-// class is over, then all return together with emptier queues. It must not act on a cut or a hang, where some servers
-// fulfil; under a lasting lack of capacity it trades a steady failure for good spells.
+// relieve ends a storm of repeats where proxies heed no level: nearly every server fails nearly all tries,
+// and the work that clients gave up on keeps it so after the cause is gone. All but one server rest until
+// the patience of every class is over, then all return together with emptier queues. It must not act on a
+// cut or a hang, where some servers fulfil; under a lasting lack of capacity it trades a steady failure for
+// good spells.
 func (s *Steward) relieve(w Writer, classes []Class, most float64) {
 	n, failing, keep := 0.0, 0.0, -1
 	for _, h := range s.order {
@@ -562,16 +579,16 @@
 		v := &s.servers[h]
 		v.rest, v.weight, v.hold = h != keep, v.listed, s.now+rest+s.settle
 	}
-	w.Log(fmt.Sprintf("storm: %.0f of %.0f hosts failing, fulfilled %.2f: all but host %d rest %.0f ms", failing, n,
-		s.fulfilled, keep, rest))
+	w.Log(fmt.Sprintf("storm: %.0f of %.0f hosts failing, fulfilled %.2f: all but host %d rest %.0f ms",
+		failing, n, s.fulfilled, keep, rest))
 }
 
-// judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof is absence;
-// or silence that is unlikely by the probes so far while no try is fulfilled there; or a cut. It must not take a busy
-// server for a silent one: many silent at once, or a fleet that fails, prove nothing. What is left must carry the
-// traffic of the proxies still joined.
+// judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof
+// is absence; or silence that is unlikely by the probes so far while no try is fulfilled there; or a cut.
+// It must not take a busy server for a silent one: many silent at once, or a fleet that fails, prove
+// nothing. What is left must carry the traffic of the proxies still joined.
 func (s *Steward) judge(w Writer) {
-	listed, in, silent, n, asked, missed, known, joined := 0.0, 0.0, 0, 0, 20.0, 1.0, 1e-9, 0.0
+	listed, in, silent, n, asked, missed := 0.0, 0.0, 0, 0, 20.0, 1.0
 	for _, h := range s.order {
 		if v := &s.servers[h]; v.phase == Ready {
 			listed, n, asked, missed = listed+v.listed, n+1, asked+v.asked, missed+v.missed
@@ -583,19 +600,15 @@
 			}
 		}
 	}
-	for i := range s.proxies {
-		if s.proxies[i].joined {
-			joined++
-		}
-	}
-	known = math.Max(float64(s.fleet.Proxies), 1)
+	least := keepPart * listed * s.share(s.fleet.Proxies)
 	for _, h := range s.order {
 		v := &s.servers[h]
 		if v.phase != Ready || !v.out && v.strikes < absences {
 			continue
 		}
 		if v.out {
-			// A proxy that joins from a cut-off zone proves the way there; its traffic must not all go elsewhere.
+			// A proxy that joins from a cut-off zone proves the way there; its traffic must not all go
+			// elsewhere.
 			if v.fine >= 2 || s.zoneBack[v.zone] && !v.absent {
 				s.giveBack(w, h)
 				in += v.listed
@@ -605,11 +618,11 @@
 		chance := math.Max(missed/asked, (v.missed+missed/asked)/(v.asked+1))
 		unlikely := float64(v.strikes) >= math.Log(surprise)/math.Log(chance)
 		dry := v.dry > 0 && (unlikely && silent*4 <= n+3 && s.fulfilled > 0.5 || s.cut(v.zone))
-		if (v.absent || dry) && in-v.listed >= keepPart*listed*joined/known && in > v.listed {
+		if (v.absent || dry) && in-v.listed >= least && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
 			in -= v.listed
-			w.Log(fmt.Sprintf("withdraw host %d: %d probes failed, absent %v, %.2f of the weight left", h, v.strikes,
-				v.absent, in/listed))
+			w.Log(fmt.Sprintf("withdraw host %d: %d probes failed, absent %v, %.2f of the weight left", h,
+				v.strikes, v.absent, in/listed))
 		}
 	}
 	clear(s.zoneBack)
@@ -626,8 +639,8 @@
 	w.Log(fmt.Sprintf("return host %d on trial", h))
 }
 
-// cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the same time,
-// while nearly all of some other zone answer. It also fits a lost zone that says nothing.
+// cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the
+// same time, while nearly all of some other zone answer. It also fits a lost zone that says nothing.
 func (s *Steward) cut(zone int) bool {
 	mine, other := false, false
 	for z := range s.fleet.Zones {
@@ -646,8 +659,9 @@
 	return mine && other
 }
 
-// bare tells that withdrawals, rests and the care for cold servers together would leave no warm line, in a zone or
-// (below 0) anywhere. Then they are all passed over there: a host that may fail is better than none.
+// bare tells that withdrawals, rests and the care for cold servers together would leave no warm line, in a
+// zone or (below 0) anywhere. Then they are all passed over there: a host that may fail is better than
+// none.
 func (s *Steward) bare(zone int) bool {
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -658,8 +672,9 @@
 	return true
 }
 
-// want is the weight that a server should have in the tables. A cold one gets no more than the least it can surely do,
-// less where the fleet fails tries: all proxies together then stay under its budget, which is a multiple of that.
+// want is the weight that a server should have in the tables. A cold one gets no more than the least it can
+// surely do, less where the fleet fails tries: all proxies together then stay under its budget, which is a
+// multiple of that.
 func (s *Steward) want(v *server, bare bool) float64 {
 	if v.phase != Ready || !bare && (v.out || v.rest) {
 		return 0
@@ -675,9 +690,9 @@
 	return math.Max(v.weight, floorPart*v.listed) * v.part * warm
 }
 
-// publish writes what changed: removals and cold starts at once, the rest once the last mark was mostly answered. A
-// model of the channel keeps ordinary changes under half of its caps, removals and bindings under nearly all; what
-// does not fit waits for a later round.
+// publish writes what changed: removals and cold starts at once, the rest once the last mark was mostly
+// answered. A model of the channel keeps ordinary changes under half of its caps, removals and bindings
+// under nearly all; what does not fit waits for a later round.
 func (s *Steward) publish(w Writer, c Channel) {
 	s.queued = math.Max(0, s.queued-(s.now-s.queuedAt)/1000*c.LinesPerS*slowest)
 	s.queuedAt = s.now
@@ -699,29 +714,22 @@
 		return (c.MessagesMost == 0 || float64(len(s.sent)+2) <= part*float64(c.MessagesMost)) &&
 			s.queued+float64(bound)*(c.Head+float64(lines)) <= part*c.MostWaiting
 	}
-	tables := 1
-	if s.local != 0 {
-		tables = 2
-	}
+	tables := 1 + min(s.local, 1)
 	open := s.mark == 0 || float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
 	none := s.bare(-1)
 	var urgent, plain []int
-	wants := make([]float64, len(s.servers))
 	lines, wrote := 0, 0
 	for _, h := range s.order {
 		v := &s.servers[h]
 		bare := none || s.local != 0 && s.bare(v.zone)
-		want := s.want(v, bare)
-		wants[h] = want
-		if want > 0 {
+		v.wanted = s.want(v, bare)
+		if v.wanted > 0 {
 			lines += tables
 		}
-		if want == v.told {
-			continue
-		}
-		if want == 0 || bare || s.warmth(v, s.guard) < 1 && want < v.told*0.9 {
+		change := math.Abs(v.wanted - v.told)
+		if change > 0 && (v.wanted == 0 || bare || s.warmth(v, s.guard) < 1 && v.wanted < v.told*0.9) {
 			urgent = append(urgent, h)
-		} else if math.Abs(want-v.told) > worthTell*math.Max(v.told, 0.1*v.listed) {
+		} else if change > worthTell*math.Max(v.told, floorPart*v.listed) {
 			plain = append(plain, h)
 		}
 	}
@@ -734,7 +742,7 @@
 	}
 	for _, h := range urgent {
 		v := &s.servers[h]
-		v.told = wants[h]
+		v.told = v.wanted
 		w.Line(0, h, v.told)
 		if s.local != 0 {
 			w.Line(1+v.zone, h, v.told)
@@ -753,13 +761,11 @@
 		}
 		s.queued += cost
 		p.bound, marking = true, true
-		if all := 1<<len(s.classes) - 1; s.local == 0 {
-			w.Bind(i, 0, 0)
-		} else {
+		if s.local != 0 {
 			w.Bind(i, 1+p.zone, s.local)
-			if rest := all &^ s.local; rest != 0 {
-				w.Bind(i, 0, rest)
-			}
+		}
+		if rest := (1<<len(s.classes) - 1) &^ s.local; rest != 0 {
+			w.Bind(i, 0, rest)
 		}
 	}
 	if marking {
@@ -773,26 +779,24 @@
 	}
 }
 
-// tellLevels writes the levels and ways of trying again that changed. A further try follows only proof that the first
-// never ran, so it is safe for every class.
+// tellLevels writes what changed of levels and ways of trying again. A further try follows only proof that
+// the first never ran, so it is safe for every class.
 func (s *Steward) tellLevels(w Writer) int {
 	n := 0
-	for c := range s.shares {
-		if math.Abs(s.shares[c]-s.toldShares[c]) <= 0.02 && s.tries == s.toldTries {
+	for c, share := range s.shares {
+		if math.Abs(share-s.toldShares[c]) <= 0.02 && s.tries == s.toldTries {
 			continue
 		}
-		s.toldShares[c] = s.shares[c]
-		share := s.shares[c]
+		s.toldShares[c] = share
 		if !s.fleet.Admits {
 			share = unlimited
 		}
-		if s.local&(1<<c) == 0 {
-			w.Level(0, 1<<c, share, s.tries)
-			n++
-			continue
+		first, last := 0, 0
+		if s.classes[c].Local {
+			first, last = 1, s.fleet.Zones
 		}
-		for z := range s.fleet.Zones {
-			w.Level(1+z, 1<<c, share, s.tries)
+		for table := first; table <= last; table++ {
+			w.Level(table, 1<<c, share, s.tries)
 			n++
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -14,8 +14,9 @@
 	return m
 }
 
-// Cap by hand: d = 4 x 250 ms, K = ln 20 / 1 s = 2.996/s. At 10/s and 250 ms, mu = 14 and the cap 11.004; at 10/s and
-// 1 s, mu = 11 and the cap 8.004; at 1/s and 2 s, mu = 1.5 and half of it, 0.75, is more than mu - K.
+// Cap by hand: d = 4 x 250 ms, K = ln 20 / 1 s = 2.996/s. At 10/s and 250 ms, mu = 14 and the cap 11.004;
+// at 10/s and 1 s, mu = 11 and the cap 8.004; at 1/s and 2 s, mu = 1.5 and half of it, 0.75, is more than
+// mu - K.
 func TestCap(t *testing.T) {
 	b := &bench{}
 	for _, c := range [][2]float64{{10, 250}, {10, 1000}, {1, 2000}} {
@@ -155,7 +156,8 @@
 	b.check(t)
 }
 
-// Cores are busy and tries fail: the class with the least earnings per work is lowered first, and further tries stop.
+// Cores are busy and tries fail: the class with the least earnings per work is lowered first, and further
+// tries stop.
 func TestOverload(t *testing.T) {
 	b := start(plain(), 3)
 	for range 12 {
@@ -181,7 +183,8 @@
 	b.check(t)
 }
 
-// All proxies join at once on a slow channel: the lines that wait stay under the cap, and all are bound in the end.
+// All proxies join at once on a slow channel: the lines that wait stay under the cap, and all are bound in
+// the end.
 func TestManyJoin(t *testing.T) {
 	set := plain()
 	set.Proxies = 30
@@ -215,8 +218,8 @@
 	b.check(t)
 }
 
-// Every host fails nearly every try and no level is heeded: all but one rest, and all return together. The one that
-// stays in is never withdrawn meanwhile, so no proxy is left bare.
+// Every host fails nearly every try and no level is heeded: all but one rest, and all return together. The
+// one that stays in is never withdrawn meanwhile, so no proxy is left bare.
 func TestStorm(t *testing.T) {
 	set := plain()
 	set.Admits = false
--- a/decide/helper_test.go
+++ b/decide/helper_test.go
@@ -10,7 +10,8 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// bench drives one Steward through small hand-made rounds and prints what it decides. Probes are answered by hand.
+// bench drives one Steward through small hand-made rounds and prints what it decides. Probes are answered
+// by hand.
 type bench struct {
 	*Steward
 	now    float64
@@ -83,8 +84,8 @@
 	return b
 }
 
-// run lets time pass in timer steps; each second the host gets its sums: tries, failed, mean time. A missing host
-// is not heard of. All proxies answer every mark at once.
+// run lets time pass in timer steps; each second the host gets its sums: tries, failed, mean time. A
+// missing host is not heard of. All proxies answer every mark at once.
 func (b *bench) run(ms float64, sums map[int][3]float64) {
 	for end := b.now + ms; b.now < end; {
 		b.now += 200
--- a/decide/steward.go
+++ b/decide/steward.go
@@ -1,5 +1,5 @@
-// Package decide is the steward's decision module. This file is its interface: the plain setting types and the
-// Writer that takes the answers. Every decision is in decide.go. Times are in milliseconds.
+// Package decide is the steward's decision module. This file is its interface: the plain setting types and
+// the Writer that takes the answers. Every decision is in decide.go. Times are in milliseconds.
 package decide
 
 // Phase is what the list says of a host.
@@ -67,8 +67,8 @@
 // NoLoad reports nothing.
 var NoLoad = Load{-1, -1}
 
-// Writer takes the decisions of a round. Hosts and proxies go by the small indices they were noted with; bit k of
-// classes is class k, and 0 stands for all of them.
+// Writer takes the decisions of a round. Hosts and proxies go by the small indices they were noted with;
+// bit k of classes is class k, and 0 stands for all of them.
 type Writer interface {
 	Line(table, host int, weight float64)
 	Bind(proxy, table, classes int)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -46,7 +46,8 @@
 	EveryHost    = "all"
 )
 
-// ReadSettings decodes and checks the settings; the error names the setting that is absent or out of its range.
+// ReadSettings decodes and checks the settings; the error names the setting that is absent or out of its
+// range.
 func ReadSettings(raw []byte) (*Settings, error) {
 	s := new(Settings)
 	if err := json.Unmarshal(raw, s); err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,5 @@
-// Package wire frames the simulator's JSON lines and is the only place that spells their names. It knows nothing of
-// decisions: what it reads is checked for form, and what it writes is one line an order.
+// Package wire frames the simulator's JSON lines and is the only place that spells their names. It knows
+// nothing of decisions: what it reads is checked for form, and what it writes is one line an order.
 package wire
 
 import (
@@ -156,8 +156,8 @@
 // NewReader reads from r.
 func NewReader(r io.Reader) *Reader { return &Reader{bufio.NewReaderSize(r, 1<<20)} }
 
-// Next reads one event. It answers io.EOF at a clean end of input, and an error that names the event and the fault
-// where the line is malformed.
+// Next reads one event. It answers io.EOF at a clean end of input, and an error that names the event and
+// the fault where the line is malformed.
 func (r *Reader) Next(e *Event) error {
 	line, err := r.in.ReadBytes('\n')
 	if err != nil && (len(line) == 0 || !errors.Is(err, io.EOF)) {
