--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,7 +29,8 @@
 	worthTell  = 0.06   // relative change of a weight that is worth a line
 	slowest    = 0.5    // the channel is taken to run at this part of its pace
 	probePart  = 0.003  // of the result may go into the price of probes
-	surprise   = 0.001  // the chance under which a row of unanswered probes proves a server silent
+	probeSoon  = 300.0  // ms until a host that left a probe unanswered is asked again
+	silences   = 3      // unanswered probes in a row that may prove a server silent
 	absences   = 2      // unanswered probes in a row that prove a server absent, or count for a cut
 	cutPart    = 0.75   // of a zone's servers unanswered, and of another's answered, make a cut
 	trialPart  = 0.4    // of its weight a server returns with, doubling each trialStep
@@ -61,7 +62,6 @@
 	hold            float64 // no move before this time
 	dry             int     // report rounds in a row without a fulfilled try
 	strikes, fine   int     // probes in a row unanswered, answered
-	asked, missed   float64 // faded: ended probes, and those of them unanswered
 	absent          bool    // the last unanswered probe found nothing there
 	probing         bool
 	out, rest       bool    // withdrawn; resting in a storm
@@ -141,17 +141,21 @@
 	return s
 }
 
-func (s *Steward) server(h int) *server {
-	for len(s.servers) <= h {
-		s.servers = append(s.servers, server{started: -1, part: 1, util: -1, qps: -1})
+// grown gives the list with at least n entries, new ones as fresh.
+func grown[T any](list []T, n int, fresh T) []T {
+	for len(list) < n {
+		list = append(list, fresh)
 	}
+	return list
+}
+
+func (s *Steward) server(h int) *server {
+	s.servers = grown(s.servers, h+1, server{started: -1, part: 1, util: -1, qps: -1})
 	return &s.servers[h]
 }
 
 func (s *Steward) proxy(p int) *proxy {
-	for len(s.proxies) <= p {
-		s.proxies = append(s.proxies, proxy{})
-	}
+	s.proxies = grown(s.proxies, p+1, proxy{})
 	return &s.proxies[p]
 }
 
@@ -235,7 +239,6 @@
 	v.probing = false
 	switch how {
 	case Fine:
-		v.asked, v.missed = v.asked*0.9+float64(v.strikes+1), v.missed*0.9+float64(v.strikes)
 		v.strikes, v.fine = 0, v.fine+1
 		v.note(load)
 	case Silent, Unreachable:
@@ -305,21 +308,17 @@
 			v.probing = true
 			w.Probe(d.host)
 		}
-		s.add(s.probeEvery(s.goal.ProbePrice, v.strikes > 0 && !v.out), toProbe, d.host)
-	}
-}
-
-// probeEvery spaces the probes of a host so that their price stays under a small part of the result.
-func (s *Steward) probeEvery(price float64, suspect bool) float64 {
-	total := 1e-9
-	for _, h := range s.order {
-		total += s.servers[h].rate
-	}
-	if suspect {
-		return 300
+		every := probeSoon
+		if v.strikes == 0 || v.out { // the price of probes stays under a small part of the result
+			total := 1e-9
+			for _, h := range s.order {
+				total += s.servers[h].rate
+			}
+			every = float64(len(s.order)*s.fleet.Instances) * s.goal.ProbePrice / (probePart * total) * 1000
+			every = math.Min(math.Max(every, 500), 2000)
+		}
+		s.add(every, toProbe, d.host)
 	}
-	every := float64(len(s.order)*s.fleet.Instances) * price / (probePart * total) * 1000
-	return math.Min(math.Max(every, 500), 2000)
 }
 
 // follow keeps the subscription to the list where the list must be asked. A failed call is repeated after a
@@ -557,11 +556,10 @@
 			keep = h
 		}
 	}
-	s.tries = 1
+	s.tries, s.storm = 1, s.storm+1
 	if s.fulfilled < 0.8 {
 		s.tries = 0
 	}
-	s.storm++
 	if s.fulfilled > 1-stormPart || failing < stormPart*n {
 		s.storm = 0
 	}
@@ -583,15 +581,15 @@
 		failing, n, s.fulfilled, keep, rest))
 }
 
-// judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof
-// is absence; or silence that is unlikely by the probes so far while no try is fulfilled there; or a cut.
-// It must not take a busy server for a silent one: many silent at once, or a fleet that fails, prove
-// nothing. What is left must carry the traffic of the proxies still joined.
+// judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof is
+// absence, or silence while no try is fulfilled there, alone or with its zone. It must not take a busy server for
+// a silent one: many silent at once, or a fleet that fails, prove nothing. What is left must carry the traffic of
+// the proxies still joined.
 func (s *Steward) judge(w Writer) {
-	listed, in, silent, n, asked, missed := 0.0, 0.0, 0, 0, 20.0, 1.0
+	listed, in, silent, n := 0.0, 0.0, 0, 0
 	for _, h := range s.order {
 		if v := &s.servers[h]; v.phase == Ready {
-			listed, n, asked, missed = listed+v.listed, n+1, asked+v.asked, missed+v.missed
+			listed, n = listed+v.listed, n+1
 			if v.strikes > 0 && !v.absent {
 				silent++
 			}
@@ -615,9 +613,8 @@
 			}
 			continue
 		}
-		chance := math.Max(missed/asked, (v.missed+missed/asked)/(v.asked+1))
-		unlikely := float64(v.strikes) >= math.Log(surprise)/math.Log(chance)
-		dry := v.dry > 0 && (unlikely && silent*4 <= n+3 && s.fulfilled > 0.5 || s.cut(v.zone))
+		alone := v.strikes >= silences && silent*4 <= n+3 && s.fulfilled > 0.5
+		dry := v.dry > 0 && (alone || s.cut(v.zone))
 		if (v.absent || dry) && in-v.listed >= least && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
 			in -= v.listed
