Take weight off a failing host at once, by its share of tries fulfilled

Hosts that answer probes but fail most tries (a neighbour, a queue full of abandoned work) lost weight only by small moves with waits between. It should also guard against any host that answers wrongly; it may harm one that a few proxies alone cannot reach.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,6 +23,8 @@
 	floorPart  = 0.1    // a server keeps this part of its listed share
 	driftPart  = 0.05   // of the way back to the listed weight, each report round
 	memory     = 0.8    // what earlier sums count for after a report round
+	shortly    = 0.5    // the same for the share of tries fulfilled
+	distrust   = 0.8    // of the fleet's share of tries fulfilled; a server under it loses weight
 	average    = 4.0    // answers of median time that each server is taken to have given besides
 	ackPart    = 0.8    // of the proxies answered a mark: the next changes may go
 	ackWait    = 2000.0 // or so long after it
@@ -66,6 +68,7 @@
 	probing         bool
 	out, rest       bool    // withdrawn; resting in a storm
 	part            float64 // of its weight, under 1 on trial
+	won, lost       float64 // faded fast: tries fulfilled and failed, also while a move has yet to show
 }
 
 type proxy struct {
@@ -379,6 +382,7 @@
 		f, p := v.fresh, &v.past
 		v.fresh = sums{}
 		good, all = good+f.good, all+f.good+f.bad
+		v.won, v.lost = v.won*shortly+f.good, v.lost*shortly+f.bad
 		v.dry++
 		if f.good > 0 {
 			v.dry = 0
@@ -684,7 +688,12 @@
 			return 0
 		}
 	}
-	return math.Max(v.weight, floorPart*v.listed) * v.part * warm
+	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails as a whole does not.
+	trust := (v.won + 2) / (v.won + v.lost + 2)
+	if trust > distrust*s.fulfilled {
+		trust = 1
+	}
+	return math.Max(v.weight, floorPart*v.listed) * v.part * warm * trust
 }
 
 // publish writes what changed: removals and cold starts at once, the rest once the last mark was mostly
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -242,3 +242,16 @@
 	b.probes(3000, nil, func(h int) Outcome { return Unreachable })
 	b.check(t)
 }
+
+// A host whose tries mostly fail, though its probes are answered, loses weight at once and gets it back as they succeed.
+func TestFailingHost(t *testing.T) {
+	b := start(plain(), 4)
+	sums := alike(4, [3]float64{10, 0, 200})
+	b.probes(3000, sums, func(int) Outcome { return Fine })
+	sums[2] = [3]float64{10, 9, 300}
+	b.probes(2000, sums, func(int) Outcome { return Fine })
+	b.say("host 2 is well again")
+	sums[2] = [3]float64{10, 0, 200}
+	b.probes(4000, sums, func(int) Outcome { return Fine })
+	b.check(t)
+}
