--- a/decide/decide.go
+++ b/decide/decide.go
@@ -57,7 +57,7 @@
 	seen            bool    // on a list
 	listed, started float64 // listed weight; last known start, or -1 where that is long ago
 	weight          float64 // where the moves have put it, as a listed weight
-	wanted, told    float64 // what the tables should hold, and do
+	told            float64 // what the tables hold
 	fresh, past     sums    // since the last report round; faded sums of the rounds before
 	util, qps       float64 // as last reported, or -1
 	rate, r         float64 // λ and R
@@ -609,12 +609,17 @@
 			continue
 		}
 		if v.out {
-			// A proxy that joins from a cut-off zone proves the way there; its traffic must not all go
-			// elsewhere.
-			if v.fine >= 2 || s.zoneBack[v.zone] && !v.absent {
-				s.giveBack(w, h)
-				in += v.listed
+			// A proxy that joins from a cut-off zone proves the way there; its traffic must not all go elsewhere.
+			if v.fine < 2 && (v.absent || !s.zoneBack[v.zone]) {
+				continue
+			}
+			v.out, v.strikes, v.hold, v.r = false, 0, s.now+s.settle, s.median
+			if v.absent { // it may have restarted, and counts as cold
+				v.started, v.part = s.now, 1
 			}
+			in += v.listed
+			s.add(trialStep, toStep, h)
+			w.Log(fmt.Sprintf("return host %d on trial", h))
 			continue
 		}
 		alone := v.strikes >= silences && silent*4 <= n+3 && s.fulfilled > 0.5
@@ -629,35 +634,22 @@
 	clear(s.zoneBack)
 }
 
-// giveBack returns a withdrawn server on trial. One that was absent may have restarted, and counts as cold.
-func (s *Steward) giveBack(w Writer, h int) {
-	v := &s.servers[h]
-	v.out, v.strikes, v.hold, v.r = false, 0, s.now+s.settle, s.median
-	if v.absent {
-		v.started, v.part = s.now, 1
-	}
-	s.add(trialStep, toStep, h)
-	w.Log(fmt.Sprintf("return host %d on trial", h))
-}
-
 // cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the
 // same time, while nearly all of some other zone answer. It also fits a lost zone that says nothing.
 func (s *Steward) cut(zone int) bool {
-	mine, other := false, false
-	for z := range s.fleet.Zones {
-		n, silent := 0.0, 0.0
-		for _, h := range s.order {
-			if v := &s.servers[h]; v.zone == z && v.phase == Ready {
-				n++
-				if v.strikes >= absences {
-					silent++
-				}
+	n, silent, other := make([]float64, s.fleet.Zones), make([]float64, s.fleet.Zones), false
+	for _, h := range s.order {
+		if v := &s.servers[h]; v.phase == Ready {
+			n[v.zone]++
+			if v.strikes >= absences {
+				silent[v.zone]++
 			}
 		}
-		mine = mine || z == zone && n > 1 && silent >= cutPart*n
-		other = other || z != zone && n > 0 && silent <= (1-cutPart)*n
 	}
-	return mine && other
+	for z := range n {
+		other = other || z != zone && n[z] > 0 && silent[z] <= (1-cutPart)*n[z]
+	}
+	return other && n[zone] > 1 && silent[zone] >= cutPart*n[zone]
 }
 
 // bare tells that withdrawals, rests and the care for cold servers together would leave no warm line, in a
@@ -716,46 +708,34 @@
 	for len(s.sent) > 0 && s.sent[0] < s.now-c.MessagesOver {
 		s.sent = s.sent[1:]
 	}
-	fits := func(part float64, lines int) bool {
-		return (c.MessagesMost == 0 || float64(len(s.sent)+2) <= part*float64(c.MessagesMost)) &&
-			s.queued+float64(bound)*(c.Head+float64(lines)) <= part*c.MostWaiting
-	}
 	tables := 1 + min(s.local, 1)
+	most := c.Head + float64((len(s.order)+len(s.shares))*tables+1) // lines of the largest message
+	fits := func(messages, queue float64) bool {
+		return (c.MessagesMost == 0 || float64(len(s.sent)+2) <= messages*float64(c.MessagesMost)) &&
+			s.queued+float64(bound)*most <= queue*c.MostWaiting
+	}
 	open := s.mark == 0 || float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
-	none := s.bare(-1)
-	var urgent, plain []int
+	open, soon, none := open && fits(0.5, 0.75), fits(0.9, 0.95), s.bare(-1)
 	lines, wrote := 0, 0
 	for _, h := range s.order {
 		v := &s.servers[h]
 		bare := none || s.local != 0 && s.bare(v.zone)
-		v.wanted = s.want(v, bare)
-		if v.wanted > 0 {
+		want := s.want(v, bare)
+		if want > 0 {
 			lines += tables
 		}
-		change := math.Abs(v.wanted - v.told)
-		if change > 0 && (v.wanted == 0 || bare || s.warmth(v, s.guard) < 1 && v.wanted < v.told*0.9) {
-			urgent = append(urgent, h)
-		} else if change > worthTell*math.Max(v.told, floorPart*v.listed) {
-			plain = append(plain, h)
-		}
-	}
-	if !fits(0.9, len(urgent)*tables) {
-		urgent = nil
-	}
-	levels := open && fits(0.5, (len(urgent)+len(plain)+len(s.shares))*tables)
-	if levels {
-		urgent = append(urgent, plain...)
-	}
-	for _, h := range urgent {
-		v := &s.servers[h]
-		v.told = v.wanted
-		w.Line(0, h, v.told)
-		if s.local != 0 {
-			w.Line(1+v.zone, h, v.told)
+		change := math.Abs(want - v.told)
+		urgent := change > 0 && (want == 0 || bare || s.warmth(v, s.guard) < 1 && want < v.told*0.9)
+		if urgent && soon || open && change > worthTell*math.Max(v.told, floorPart*v.listed) {
+			v.told = want
+			w.Line(0, h, want)
+			if s.local != 0 {
+				w.Line(1+v.zone, h, want)
+			}
+			wrote += tables
 		}
-		wrote += tables
 	}
-	if levels {
+	if open {
 		wrote += s.tellLevels(w)
 	}
 	marking := wrote > 0
