--- a/decide/decide.go
+++ b/decide/decide.go
@@ -115,9 +115,9 @@
 	heardAt, gap       float64 // time of the last report round; how much later than usual they have come
 	settle             float64 // until a move shows in the sums
 	median, fulfilled  float64 // median R; part of the tries fulfilled
-	peak, spare        float64 // most tries fulfilled for a unit of weight; the same of all, for each try now
 	came, newCame      []float64
 	level, levelHold   float64
+	lowFulfilled       float64
 	shares, toldShares []float64
 	tries, toldTries   int
 	storm              int
@@ -377,12 +377,12 @@
 // answers from faking overload.
 func (s *Steward) estimate(share, period float64) {
 	var heard []float64
-	good, all, told := 1.0, 1.0, 1e-9
+	good, all := 1.0, 1.0
 	for _, h := range s.order {
 		v := &s.servers[h]
 		f, p := v.fresh, &v.past
 		v.fresh = sums{}
-		good, all, told = good+f.good, all+f.good+f.bad, told+v.told
+		good, all = good+f.good, all+f.good+f.bad
 		v.won, v.lost = v.won*shortly+f.good, v.lost*shortly+f.bad
 		v.dry++
 		if f.good > 0 {
@@ -403,8 +403,6 @@
 			heard = append(heard, p.time/p.good)
 		}
 	}
-	s.peak = math.Max(s.peak*0.99, good/told)
-	s.spare = s.peak * told / all
 	s.fulfilled = math.Min(good/all, 0.5*s.fulfilled+0.5*good/all)
 	if len(heard) > 0 {
 		sort.Float64s(heard)
@@ -503,11 +501,13 @@
 	}
 	busy, slow, dueTime = busy/n, slow/good, dueTime/came
 	was := s.level
-	if busy > shedAbove && (s.fulfilled < 0.93 || slow > 0.4*dueTime) {
-		s.level = math.Max(s.level*math.Min(math.Max(0.95*s.spare, 0.5), 0.9), levelLeast)
+	better := s.level < 1 && s.fulfilled > s.lowFulfilled+0.05
+	if busy > shedAbove && !better && (s.fulfilled < 0.93 || slow > 0.4*dueTime) {
+		s.level = math.Max(s.level*math.Min(math.Max(shedTo*s.fulfilled, 0.6), 0.9), levelLeast)
 	} else if busy < easeUnder {
 		s.level = math.Min(1, s.level*math.Min(math.Max(shedTo/busy, 1.1), 1.6))
 	}
+	s.lowFulfilled = s.fulfilled
 	if s.level == was {
 		return
 	}
