--- a/decide/decide.go
+++ b/decide/decide.go
@@ -655,17 +655,17 @@
 	return other && n[zone] > 1 && silent[zone] >= cutPart*n[zone]
 }
 
-// bare tells that withdrawals, rests and the care for cold servers together would leave no warm line, in a
-// zone or (below 0) anywhere. Then they are all passed over there: a host that may fail is better than
-// none.
-func (s *Steward) bare(zone int) bool {
+// left tells whether a warm line is left in a zone or (below 0) anywhere: one that should be in the tables, and where
+// held is set is there already. Where none should be, withdrawals, rests and the care for cold servers are passed over,
+// since a host that may fail is better than none; where none is held, additions go as early as removals.
+func (s *Steward) left(zone int, held bool) bool {
 	for _, h := range s.order {
 		v := &s.servers[h]
-		if (zone < 0 || v.zone == zone) && s.warmth(v, s.guard) >= 1 && s.want(v, false) > 0 {
-			return false
+		if (zone < 0 || v.zone == zone) && (!held || v.told > 0) && s.warmth(v, s.guard) >= 1 && s.want(v, false) > 0 {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // want is the weight that a server should have in the tables. A cold one gets no more than the least it can
@@ -677,7 +677,7 @@
 	}
 	warm := s.warmth(v, s.guard)
 	if warm < 1 {
-		warm *= s.fulfilled
+		warm = math.Min(1, warm*math.Min(1.5, s.fulfilled*s.guard.FallMultiple/2))
 		// Proxies that shun hosts after failures of their own would send all they have to a fresh one.
 		if e := s.fleet.Ejects; e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned {
 			return 0
@@ -718,18 +718,22 @@
 			s.queued+float64(bound)*most <= queue*c.MostWaiting
 	}
 	open := s.mark == 0 || float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
-	open, soon, none := open && fits(0.5, 0.75), fits(0.9, 0.95), s.bare(-1)
+	open, soon, drains := open && fits(0.5, 0.75), fits(0.8, 0.9), fits(0.95, 0.95)
+	none, few := !s.left(-1, false), !s.left(-1, true)
 	lines, wrote := 0, 0
 	for _, h := range s.order {
 		v := &s.servers[h]
-		bare := none || s.local != 0 && s.bare(v.zone)
+		bare, thin := none, few
+		if s.local != 0 {
+			bare, thin = bare || !s.left(v.zone, false), thin || !s.left(v.zone, true)
+		}
 		want := s.want(v, bare)
 		if want > 0 {
 			lines += tables
 		}
 		change := math.Abs(want - v.told)
-		urgent := change > 0 && (want == 0 || bare || s.warmth(v, s.guard) < 1 && want < v.told*0.9)
-		if urgent && soon || open && change > worthTell*math.Max(v.told, floorPart*v.listed) {
+		urgent := change > 0 && (want == 0 || thin || s.warmth(v, s.guard) < 1 && want < v.told*0.9)
+		if urgent && (soon || drains && v.phase != Ready) || open && change > worthTell*math.Max(v.told, floorPart*v.listed) {
 			v.told = want
 			w.Line(0, h, want)
 			if s.local != 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -255,3 +255,23 @@
 	b.probes(4000, sums, func(int) Outcome { return Fine })
 	b.check(t)
 }
+
+// The ordinary messages of the window are used up when the last host that the tables hold drains: the host that is to
+// take its place goes out in the same message, so that no proxy is left bare until the window moves on.
+func TestReturnGoesWithRemoval(t *testing.T) {
+	set := plain()
+	set.MessagesMost = 20
+	b := start(set, 2)
+	sums := alike(2, [3]float64{10, 0, 200})
+	b.probes(2000, sums, func(int) Outcome { return Fine })
+	b.servers[1].out, b.servers[1].strikes = true, 5
+	b.run(200, nil)
+	for range 10 {
+		b.sent = append(b.sent, b.now)
+	}
+	b.ListChange()
+	b.Entry(0, 0, Draining, 1, 0)
+	b.servers[1].fine = 2
+	b.run(400, nil)
+	b.check(t)
+}
--- a/decide/steward.go
+++ b/decide/steward.go
@@ -41,6 +41,7 @@
 type Guard struct {
 	Bare           float64 // a proxy may have no line for so long
 	ColdFrom, Cold float64 // the part of its capacity a host starts with; the time until it is warm
+	FallMultiple   float64 // sent so many times its capacity, a cold host falls over
 }
 
 // Goal weighs what the deployment counts, and what a probe costs.
