--- a/decide/decide.go
+++ b/decide/decide.go
@@ -678,8 +678,10 @@
 	warm := s.warmth(v, s.guard)
 	if warm < 1 {
 		warm = math.Min(1, warm*math.Min(1.5, s.fulfilled*s.guard.FallMultiple/2))
-		// Proxies that shun hosts after failures of their own would send all they have to a fresh one.
-		if e := s.fleet.Ejects; e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned {
+		// Proxies that shun hosts after failures of their own would send all they have to a fresh one; and before the
+		// first sums nobody knows how the fleet fares.
+		e := s.fleet.Ejects
+		if !bare && (s.heardAt < 0 || e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned) {
 			return 0
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -275,3 +275,13 @@
 	b.run(400, nil)
 	b.check(t)
 }
+
+// A steward that has just started over hears of a cold host before it has any sums: the host waits for them.
+func TestColdBeforeSums(t *testing.T) {
+	b := start(plain(), 3)
+	b.ListChange()
+	b.Entry(2, 0, Ready, 1, b.now-100)
+	b.run(1400, nil)
+	b.run(6000, alike(3, [3]float64{10, 0, 200}))
+	b.check(t)
+}
