--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,6 +39,7 @@
 	trialStep  = 1000.0
 	keepPart   = 0.34 // of the listed weight stays in the tables whatever the probes say
 	stormPart  = 0.6  // of the servers, and of their tries, fail in a storm of repeats
+	budgetPart = 0.25 // of a cold server's budget may be used: servers may be half as fast as listed, and waver
 	shunned    = 0.1  // chance of failures in a row over which a fleet that shuns gets no cold server
 	shedAbove  = 0.9  // busy cores that may mean overload
 	shedTo     = 0.85 // busy cores aimed at by a change of level
@@ -99,6 +100,7 @@
 	goal    Goal
 
 	now, wakeAt float64
+	knowing     float64 // sums from then on show our own first orders
 	counter     uint64
 	servers     []server
 	order       []int // hosts in the order they were first listed
@@ -262,6 +264,9 @@
 		}
 		s.planned = len(s.order)
 	}
+	if s.wakeAt < 0 {
+		s.knowing = now + 2*s.settle
+	}
 	if now >= s.wakeAt {
 		s.wakeAt = now + tick
 		w.Wake(s.wakeAt)
@@ -677,11 +682,11 @@
 	}
 	warm := s.warmth(v, s.guard)
 	if warm < 1 {
-		warm = math.Min(1, warm*math.Min(1.5, s.fulfilled*s.guard.FallMultiple/2))
-		// Proxies that shun hosts after failures of their own would send all they have to a fresh one; and before the
-		// first sums nobody knows how the fleet fares.
+		warm *= s.fulfilled * math.Min(1, s.guard.FallMultiple*budgetPart)
+		// Proxies that shun hosts after failures of their own would send all they have to a fresh one; and until the
+		// sums show our own first orders nobody knows how the fleet fares under them.
 		e := s.fleet.Ejects
-		if !bare && (s.heardAt < 0 || e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned) {
+		if !bare && (s.heardAt < s.knowing || e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned) {
 			return 0
 		}
 	}
