--- a/decide/decide.go
+++ b/decide/decide.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"hash/crc32"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -60,14 +61,14 @@
 	weight          float64 // where the moves have put it, as a listed weight
 	told            float64 // what the tables hold
 	fresh, past     sums    // since the last report round; faded sums of the rounds before
-	util, qps       float64 // as last reported, or -1
+	load            Load    // as last reported
 	rate, r         float64 // λ and R
 	hold            float64 // no move before this time
-	dry             int     // report rounds in a row without a fulfilled try
+	dry             bool    // no try was fulfilled in the last report round
 	strikes, fine   int     // probes in a row unanswered, answered
 	absent          bool    // the last unanswered probe found nothing there
-	probing         bool
-	out, rest       bool    // withdrawn; resting in a storm
+	probing, kept   bool    // a probe is out; the one server that does not rest
+	out             bool    // withdrawn
 	part            float64 // of its weight, under 1 on trial
 	won, lost       float64 // faded fast: tries fulfilled and failed, also while a move has yet to show
 }
@@ -77,20 +78,12 @@
 	joined, bound bool
 }
 
-// due is work for a later time on a host, or on the steward where host is below 0.
+// due is work for a later time.
 type due struct {
-	at   float64
-	what int
-	host int
+	at float64
+	do func(Writer)
 }
 
-const (
-	toProbe = iota
-	toStep
-	toWake
-	toAsk
-)
-
 // Steward decides for one instance.
 type Steward struct {
 	fleet   Fleet
@@ -101,11 +94,13 @@
 
 	now, wakeAt float64
 	knowing     float64 // sums from then on show our own first orders
+	allCold     bool    // no ready server is warm
 	counter     uint64
 	servers     []server
 	order       []int // hosts in the order they were first listed
 	planned     int   // so many of them are probed
 	proxies     []proxy
+	joined      int
 	zoneBack    []bool // a proxy of the zone has joined since the last round
 	local       int    // classes that stay in their zone
 	dues        []due  // by time
@@ -123,6 +118,7 @@
 	shares, toldShares []float64
 	tries, toldTries   int
 	storm              int
+	resting            bool // in a storm
 	stormNext          float64
 
 	mark, marked, answered   int
@@ -156,7 +152,7 @@
 }
 
 func (s *Steward) server(h int) *server {
-	s.servers = grown(s.servers, h+1, server{started: -1, part: 1, util: -1, qps: -1})
+	s.servers = grown(s.servers, h+1, server{started: -1, part: 1, load: NoLoad})
 	return &s.servers[h]
 }
 
@@ -165,6 +161,9 @@
 	return &s.proxies[p]
 }
 
+// share is the part of all proxies that are joined here.
+func (s *Steward) share() float64 { return float64(max(s.joined, 1)) / float64(s.fleet.Proxies) }
+
 // WholeList notes that the entries which follow are the whole list.
 func (s *Steward) WholeList(cached bool) {
 	for i := range s.servers {
@@ -196,18 +195,25 @@
 	v.seen, v.zone, v.phase, v.listed = true, zone, phase, listed
 	if started > 0 && started != v.started {
 		*v = server{zone: zone, phase: phase, seen: true, listed: listed, started: started, weight: listed,
-			r: s.median, told: v.told, util: -1, qps: -1, probing: v.probing, part: 1}
+			r: s.median, told: v.told, load: NoLoad, probing: v.probing, part: 1}
 	}
 }
 
 // Joined notes that a proxy's stream stands.
 func (s *Steward) Joined(p, zone int) {
+	s.Left(p)
+	s.joined++
 	*s.proxy(p) = proxy{zone: zone, joined: true}
 	s.zoneBack[zone] = true
 }
 
 // Left notes that a proxy's stream broke.
-func (s *Steward) Left(p int) { s.proxy(p).joined = false }
+func (s *Steward) Left(p int) {
+	if v := s.proxy(p); v.joined {
+		v.joined = false
+		s.joined--
+	}
+}
 
 // Heard notes sums of what proxies met at a host.
 func (s *Steward) Heard(host, tries, failed int, mean, span float64, load Load) {
@@ -216,17 +222,10 @@
 	f := &v.fresh
 	f.good, f.bad, f.time = f.good+good, f.bad+float64(failed), f.time+mean*good
 	f.span = math.Max(f.span, span)
-	v.note(load)
-	s.heard = true
-}
-
-func (v *server) note(load Load) {
-	if load.Util >= 0 {
-		v.util = load.Util
-	}
-	if load.Rate >= 0 {
-		v.qps = load.Rate
+	if load != NoLoad {
+		v.load = load
 	}
+	s.heard = true
 }
 
 // Usage notes the transactions of a class that came to a proxy.
@@ -246,7 +245,9 @@
 	switch how {
 	case Fine:
 		v.strikes, v.fine = 0, v.fine+1
-		v.note(load)
+		if load != NoLoad {
+			v.load = load
+		}
 	case Silent, Unreachable:
 		v.strikes, v.fine, v.absent = v.strikes+1, 0, how == Unreachable
 	}
@@ -260,7 +261,7 @@
 	}
 	if s.fleet.MayProbe {
 		for _, h := range s.order[s.planned:] {
-			s.add(s.chance()*1000, toProbe, h)
+			s.add(s.chance()*1000, func(w Writer) { s.probe(w, h) })
 		}
 		s.planned = len(s.order)
 	}
@@ -277,7 +278,7 @@
 	for len(s.dues) > 0 && s.dues[0].at <= now {
 		d := s.dues[0]
 		s.dues = s.dues[1:]
-		s.act(w, d)
+		d.do(w)
 	}
 	s.judge(w)
 	s.publish(w, s.channel)
@@ -290,44 +291,38 @@
 	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
 }
 
-func (s *Steward) add(in float64, what, host int) {
+func (s *Steward) add(in float64, do func(Writer)) {
 	at := s.now + in
 	i := sort.Search(len(s.dues), func(i int) bool { return s.dues[i].at > at })
 	s.dues = append(s.dues, due{})
 	copy(s.dues[i+1:], s.dues[i:])
-	s.dues[i] = due{at, what, host}
+	s.dues[i] = due{at, do}
 }
 
-func (s *Steward) act(w Writer, d due) {
-	switch d.what {
-	case toAsk:
-		w.Watch()
-	case toWake:
-		for i := range s.servers {
-			s.servers[i].rest = false
-		}
-	case toStep:
-		if v := &s.servers[d.host]; !v.out && v.part < 1 {
-			v.part = math.Min(1, v.part*2)
-			s.add(trialStep, toStep, d.host)
-		}
-	case toProbe:
-		v := &s.servers[d.host]
-		if v.phase == Ready && !v.probing {
-			v.probing = true
-			w.Probe(d.host)
-		}
-		every := probeSoon
-		if v.strikes == 0 || v.out { // the price of probes stays under a small part of the result
-			total := 1e-9
-			for _, h := range s.order {
-				total += s.servers[h].rate
-			}
-			every = float64(len(s.order)*s.fleet.Instances) * s.goal.ProbePrice / (probePart * total) * 1000
-			every = math.Min(math.Max(every, 500), 2000)
+// step lets a server on trial take more of its weight.
+func (s *Steward) step(h int) {
+	if v := &s.servers[h]; !v.out && v.part < 1 {
+		v.part = math.Min(1, v.part*2)
+		s.add(trialStep, func(Writer) { s.step(h) })
+	}
+}
+
+// probe examines a host, and again after a while that keeps the price of probes under a small part of the result.
+func (s *Steward) probe(w Writer, h int) {
+	v := &s.servers[h]
+	if v.phase == Ready && !v.probing {
+		v.probing = true
+		w.Probe(h)
+	}
+	every, total := probeSoon, 1e-9
+	if v.strikes == 0 || v.out {
+		for _, h := range s.order {
+			total += s.servers[h].rate
 		}
-		s.add(every, toProbe, d.host)
+		every = float64(len(s.order)*s.fleet.Instances) * s.goal.ProbePrice / (probePart * total) * 1000
+		every = math.Min(math.Max(every, 500), 2000)
 	}
+	s.add(every, func(w Writer) { s.probe(w, h) })
 }
 
 // follow keeps the subscription to the list where the list must be asked. A failed call is repeated after a
@@ -342,7 +337,7 @@
 	if s.askFailed {
 		s.askFailed = false
 		s.askWait = math.Min(math.Max(2*s.askWait, 250), 4000)
-		s.add(s.askWait*(0.5+s.chance()), toAsk, -1)
+		s.add(s.askWait*(0.5+s.chance()), func(w Writer) { w.Watch() })
 		w.Log(fmt.Sprintf("list call failed, asking again within %.0f ms", s.askWait*1.5))
 	}
 }
@@ -356,7 +351,7 @@
 	for c := range s.came {
 		s.came[c], s.newCame[c] = s.came[c]*memory+s.newCame[c], 0
 	}
-	s.estimate(s.share(s.fleet.Proxies), period)
+	s.estimate(s.share(), period)
 	s.shift()
 	if s.fleet.Admits {
 		s.admit(w, s.classes, s.goal)
@@ -365,17 +360,6 @@
 	}
 }
 
-// share is the part of all proxies that are joined here.
-func (s *Steward) share(all int) float64 {
-	n := 0
-	for i := range s.proxies {
-		if s.proxies[i].joined {
-			n++
-		}
-	}
-	return float64(max(n, 1)) / float64(all)
-}
-
 // estimate brings λ and R of each server up to date. λ is the whole rate: as reported, else our own sums
 // over our share of the proxies. A failed try counts as one that took the deadline d, so that quick errors
 // and few answers never read as room; it stays out of the median. Average answers keep a noisy R of few
@@ -389,10 +373,7 @@
 		v.fresh = sums{}
 		good, all = good+f.good, all+f.good+f.bad
 		v.won, v.lost = v.won*shortly+f.good, v.lost*shortly+f.bad
-		v.dry++
-		if f.good > 0 {
-			v.dry = 0
-		}
+		v.dry = f.good == 0
 		if s.now < v.hold-period { // from before the last move showed
 			*p = sums{}
 			continue
@@ -401,8 +382,8 @@
 		p.span = p.span*memory + math.Max(f.span, period)
 		v.r = (p.time + (p.bad*dMedians+average)*s.median) / (p.good + p.bad + average)
 		v.rate = (p.good + p.bad) / p.span * 1000 / share
-		if v.qps >= 0 {
-			v.rate = math.Max(v.qps, v.rate/2)
+		if v.load.Rate >= 0 {
+			v.rate = math.Max(v.load.Rate, v.rate/2)
 		}
 		if s.serving(v) && p.good >= average {
 			heard = append(heard, p.time/p.good)
@@ -493,8 +474,8 @@
 	busy, n, good, slow, came, dueTime := 0.0, 0.0, 1e-9, 0.0, 1e-9, 0.0
 	for _, h := range s.order {
 		v := &s.servers[h]
-		if s.serving(v) && v.util >= 0 {
-			busy, n = busy+v.util*v.weight, n+v.weight
+		if s.serving(v) && v.load.Util >= 0 {
+			busy, n = busy+v.load.Util*v.weight, n+v.weight
 		}
 		good, slow = good+v.rate, slow+v.rate*v.r
 	}
@@ -583,11 +564,12 @@
 		rest = math.Max(rest, c.Patience)
 	}
 	rest = math.Min(rest, most) + s.channel.Late
-	s.add(rest, toWake, -1)
+	s.resting = true
+	s.add(rest, func(Writer) { s.resting = false })
 	s.stormNext = s.now + rest + s.settle + s.gap
 	for _, h := range s.order {
 		v := &s.servers[h]
-		v.rest, v.weight, v.hold = h != keep, v.listed, s.now+rest+s.settle
+		v.kept, v.weight, v.hold = h == keep, v.listed, s.now+rest+s.settle
 	}
 	w.Log(fmt.Sprintf("storm: %.0f of %.0f hosts failing, fulfilled %.2f: all but host %d rest %.0f ms",
 		failing, n, s.fulfilled, keep, rest))
@@ -610,7 +592,7 @@
 			}
 		}
 	}
-	least := keepPart * listed * s.share(s.fleet.Proxies)
+	least := keepPart * listed * s.share()
 	for _, h := range s.order {
 		v := &s.servers[h]
 		if v.phase != Ready || !v.out && v.strikes < absences {
@@ -626,12 +608,12 @@
 				v.started, v.part = s.now, 1
 			}
 			in += v.listed
-			s.add(trialStep, toStep, h)
+			s.add(trialStep, func(Writer) { s.step(h) })
 			w.Log(fmt.Sprintf("return host %d on trial", h))
 			continue
 		}
 		alone := v.strikes >= silences && silent*4 <= n+3 && s.fulfilled > 0.5
-		dry := v.dry > 0 && (alone || s.cut(v.zone))
+		dry := v.dry && (alone || s.cut(v.zone))
 		if (v.absent || dry) && in-v.listed >= least && in > v.listed {
 			v.out, v.part, v.fine = true, trialPart, 0
 			in -= v.listed
@@ -645,24 +627,26 @@
 // cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the
 // same time, while nearly all of some other zone answer. It also fits a lost zone that says nothing.
 func (s *Steward) cut(zone int) bool {
-	n, silent, other := make([]float64, s.fleet.Zones), make([]float64, s.fleet.Zones), false
+	all, fine := make([]float64, s.fleet.Zones), make([]float64, s.fleet.Zones)
+	silent, other := 0.0, false
 	for _, h := range s.order {
 		if v := &s.servers[h]; v.phase == Ready {
-			n[v.zone]++
-			if v.strikes >= absences {
-				silent[v.zone]++
+			all[v.zone]++
+			fine[v.zone] += float64(min(v.fine, 1))
+			if v.zone == zone && v.strikes >= absences {
+				silent++
 			}
 		}
 	}
-	for z := range n {
-		other = other || z != zone && n[z] > 0 && silent[z] <= (1-cutPart)*n[z]
+	for z := range all {
+		other = other || z != zone && all[z] > 0 && fine[z] >= cutPart*all[z]
 	}
-	return other && n[zone] > 1 && silent[zone] >= cutPart*n[zone]
+	return other && all[zone] > 1 && silent >= cutPart*all[zone]
 }
 
 // left tells whether a warm line is left in a zone or (below 0) anywhere: one that should be in the tables, and where
-// held is set is there already. Where none should be, withdrawals, rests and the care for cold servers are passed over,
-// since a host that may fail is better than none; where none is held, additions go as early as removals.
+// held is set is there already. Where none should be, withdrawals and rests are passed over, since a host that may
+// fail is better than none; where none is held, additions go as early as removals.
 func (s *Steward) left(zone int, held bool) bool {
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -677,7 +661,7 @@
 // surely do, less where the fleet fails tries: all proxies together then stay under its budget, which is a
 // multiple of that.
 func (s *Steward) want(v *server, bare bool) float64 {
-	if v.phase != Ready || !bare && (v.out || v.rest) {
+	if v.phase != Ready || !bare && (v.out || s.resting && !v.kept) {
 		return 0
 	}
 	warm := s.warmth(v, s.guard)
@@ -686,7 +670,7 @@
 		// Proxies that shun hosts after failures of their own would send all they have to a fresh one; and until the
 		// sums show our own first orders nobody knows how the fleet fares under them.
 		e := s.fleet.Ejects
-		if !bare && (s.heardAt < s.knowing || e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned) {
+		if !s.allCold && (s.heardAt < s.knowing || e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned) {
 			return 0
 		}
 	}
@@ -727,6 +711,9 @@
 	open := s.mark == 0 || float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
 	open, soon, drains := open && fits(0.5, 0.75), fits(0.8, 0.9), fits(0.95, 0.95)
 	none, few := !s.left(-1, false), !s.left(-1, true)
+	s.allCold = !slices.ContainsFunc(s.servers, func(v server) bool {
+		return v.phase == Ready && s.warmth(&v, s.guard) >= 1
+	})
 	lines, wrote := 0, 0
 	for _, h := range s.order {
 		v := &s.servers[h]
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -285,3 +285,21 @@
 	b.run(6000, alike(3, [3]float64{10, 0, 200}))
 	b.check(t)
 }
+
+// A zone of busy hosts leaves its probes unanswered while the one host of the other zone has just started: that is no
+// cut, the busy ones stay in, and the cold one does not get what they cannot take.
+func TestColdIsNoEvidence(t *testing.T) {
+	set := plain()
+	set.Ejects, set.Admits = 3, false
+	b := start(set, 1)
+	for _, h := range []int{2, 4} {
+		b.Entry(h, 0, Ready, 1, 0)
+	}
+	b.Round(b.now, b)
+	sums := alike(5, [3]float64{30, 30, 0})
+	b.probes(5000, sums, func(int) Outcome { return Silent })
+	b.ListChange()
+	b.Entry(1, 1, Ready, 1, b.now-100)
+	b.probes(1000, sums, func(int) Outcome { return Silent })
+	b.check(t)
+}
