--- a/decide/decide.go
+++ b/decide/decide.go
@@ -12,41 +12,41 @@
 	"fmt"
 	"hash/crc32"
 	"math"
-	"slices"
 	"sort"
 )
 
 const (
-	tick       = 200.0  // ms between rounds of periodic work
-	epsilon    = 0.05   // part of the transactions that may miss the deadline d
-	dMedians   = 3.2    // d as a multiple of the median response time: a median server has a little room
-	capLeast   = 0.5    // the cap is never under this part of the service rate
-	floorPart  = 0.1    // a server keeps this part of its listed share
-	driftPart  = 0.05   // of the way back to the listed weight, each report round
-	memory     = 0.8    // what earlier sums count for after a report round
-	shortly    = 0.5    // the same for the share of tries fulfilled
-	distrust   = 0.8    // of the fleet's share of tries fulfilled; a server under it loses weight
-	average    = 4.0    // answers of median time that each server is taken to have given besides
-	ackPart    = 0.8    // of the proxies answered a mark: the next changes may go
-	ackWait    = 2000.0 // or so long after it
-	worthTell  = 0.06   // relative change of a weight that is worth a line
-	slowest    = 0.5    // the channel is taken to run at this part of its pace
-	probePart  = 0.003  // of the result may go into the price of probes
-	probeSoon  = 300.0  // ms until a host that left a probe unanswered is asked again
-	silences   = 3      // unanswered probes in a row that may prove a server silent
-	absences   = 2      // unanswered probes in a row that prove a server absent, or count for a cut
-	cutPart    = 0.75   // of a zone's servers unanswered, and of another's answered, make a cut
-	trialPart  = 0.4    // of its weight a server returns with, doubling each trialStep
-	trialStep  = 1000.0
-	keepPart   = 0.34 // of the listed weight stays in the tables whatever the probes say
-	stormPart  = 0.6  // of the servers, and of their tries, fail in a storm of repeats
-	budgetPart = 0.25 // of a cold server's budget may be used: servers may be half as fast as listed, and waver
-	shunned    = 0.1  // chance of failures in a row over which a fleet that shuns gets no cold server
-	shedAbove  = 0.9  // busy cores that may mean overload
-	shedTo     = 0.85 // busy cores aimed at by a change of level
-	easeUnder  = 0.8  // busy cores under which the level rises
-	levelLeast = 0.1
-	unlimited  = 1e6 // a level where shares are not heeded
+	tick         = 200.0  // ms between rounds of periodic work
+	epsilon      = 0.05   // part of the transactions that may miss the deadline d
+	dMedians     = 3.2    // d as a multiple of the median response time: a median server has a little room
+	capLeast     = 0.5    // the cap is never under this part of the service rate
+	floorPart    = 0.1    // a server keeps this part of its listed share
+	driftPart    = 0.05   // of the way back to the listed weight, each report round
+	memory       = 0.8    // what earlier sums count for after a report round
+	shortly      = 0.5    // the same for the share of tries fulfilled
+	distrust     = 0.8    // of the fleet's share of tries fulfilled; a server under it loses weight
+	average      = 4.0    // answers of median time that each server is taken to have given besides
+	ackPart      = 0.8    // of the proxies answered a mark: the next changes may go
+	ackWait      = 2000.0 // or so long after it
+	worthTell    = 0.06   // relative change of a weight that is worth a line
+	slowest      = 0.5    // the channel is taken to run at this part of its pace
+	probePart    = 0.003  // of the result may go into the price of probes
+	probeSoon    = 300.0  // ms until a host that left a probe unanswered is asked again
+	silences     = 3      // unanswered probes in a row that may prove a server silent
+	absences     = 2      // unanswered probes in a row that prove a server absent, or count for a cut
+	cutPart      = 0.75   // of a zone's servers unanswered, and of another's answered, make a cut
+	trialPart    = 0.4    // of its weight a server returns with, doubling each trialStep
+	trialStep    = 1000.0
+	keepPart     = 0.34 // of the listed weight stays in the tables whatever the probes say
+	stormPart    = 0.6  // of the servers, and of their tries, fail in a storm of repeats
+	coldOnlyPart = 2.0  // times the fleet's listed weight: what cold servers alone must be able to bear of it
+	budgetPart   = 0.25 // of a cold server's budget may be used: servers may be half as fast as listed, and waver
+	shunned      = 0.1  // chance of failures in a row over which a fleet that shuns gets no cold server
+	shedAbove    = 0.9  // busy cores that may mean overload
+	shedTo       = 0.85 // busy cores aimed at by a change of level
+	easeUnder    = 0.8  // busy cores under which the level rises
+	levelLeast   = 0.1
+	unlimited    = 1e6 // a level where shares are not heeded
 )
 
 // sums of what proxies met at a server.
@@ -94,7 +94,8 @@
 
 	now, wakeAt float64
 	knowing     float64 // sums from then on show our own first orders
-	allCold     bool    // no ready server is warm
+	someWarm    bool    // some ready server is warm
+	coldOnly    bool    // no ready server is warm, and the cold ones together can bear the traffic
 	counter     uint64
 	servers     []server
 	order       []int // hosts in the order they were first listed
@@ -307,7 +308,8 @@
 	}
 }
 
-// probe examines a host, and again after a while that keeps the price of probes under a small part of the result.
+// probe examines a host, and again after a while that keeps the price of probes under a small part of the
+// result.
 func (s *Steward) probe(w Writer, h int) {
 	v := &s.servers[h]
 	if v.phase == Ready && !v.probing {
@@ -575,10 +577,10 @@
 		failing, n, s.fulfilled, keep, rest))
 }
 
-// judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof is
-// absence, or silence while no try is fulfilled there, alone or with its zone. It must not take a busy server for
-// a silent one: many silent at once, or a fleet that fails, prove nothing. What is left must carry the traffic of
-// the proxies still joined.
+// judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof
+// is absence, or silence while no try is fulfilled there, alone or with its zone. It must not take a busy
+// server for a silent one: many silent at once, or a fleet that fails, prove nothing. What is left must
+// carry the traffic of the proxies still joined.
 func (s *Steward) judge(w Writer) {
 	listed, in, silent, n := 0.0, 0.0, 0, 0
 	for _, h := range s.order {
@@ -599,7 +601,8 @@
 			continue
 		}
 		if v.out {
-			// A proxy that joins from a cut-off zone proves the way there; its traffic must not all go elsewhere.
+			// A proxy that joins from a cut-off zone proves the way there; its traffic must not all go
+			// elsewhere.
 			if v.fine < 2 && (v.absent || !s.zoneBack[v.zone]) {
 				continue
 			}
@@ -644,9 +647,9 @@
 	return other && all[zone] > 1 && silent >= cutPart*all[zone]
 }
 
-// left tells whether a warm line is left in a zone or (below 0) anywhere: one that should be in the tables, and where
-// held is set is there already. Where none should be, withdrawals and rests are passed over, since a host that may
-// fail is better than none; where none is held, additions go as early as removals.
+// left tells whether a warm line is left in a zone or (below 0) anywhere: one that should be in the tables,
+// and where held is set is there already. Where none should be, withdrawals and rests are passed over,
+// since a host that may fail is better than none; where none is held, additions go as early as removals.
 func (s *Steward) left(zone int, held bool) bool {
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -667,14 +670,16 @@
 	warm := s.warmth(v, s.guard)
 	if warm < 1 {
 		warm *= s.fulfilled * math.Min(1, s.guard.FallMultiple*budgetPart)
-		// Proxies that shun hosts after failures of their own would send all they have to a fresh one; and until the
-		// sums show our own first orders nobody knows how the fleet fares under them.
+		// Proxies that shun hosts after failures of their own would send all they have to a fresh one;
+		// and until the sums show our own first orders nobody knows how the fleet fares under them.
 		e := s.fleet.Ejects
-		if !s.allCold && (s.heardAt < s.knowing || e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned) {
+		if !s.coldOnly && (!s.someWarm || s.heardAt < s.knowing ||
+			e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned) {
 			return 0
 		}
 	}
-	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails as a whole does not.
+	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails as a whole
+	// does not.
 	trust := (v.won + 2) / (v.won + v.lost + 2)
 	if trust > distrust*s.fulfilled {
 		trust = 1
@@ -711,9 +716,16 @@
 	open := s.mark == 0 || float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
 	open, soon, drains := open && fits(0.5, 0.75), fits(0.8, 0.9), fits(0.95, 0.95)
 	none, few := !s.left(-1, false), !s.left(-1, true)
-	s.allCold = !slices.ContainsFunc(s.servers, func(v server) bool {
-		return v.phase == Ready && s.warmth(&v, s.guard) >= 1
-	})
+	warm, able, all := false, 0.0, 0.0
+	for _, h := range s.order {
+		v := &s.servers[h]
+		all += v.listed
+		if v.phase == Ready {
+			able += v.listed * s.warmth(v, s.guard)
+			warm = warm || s.warmth(v, s.guard) >= 1
+		}
+	}
+	s.someWarm, s.coldOnly = warm, !warm && able*s.guard.FallMultiple >= coldOnlyPart*all
 	lines, wrote := 0, 0
 	for _, h := range s.order {
 		v := &s.servers[h]
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -243,7 +243,8 @@
 	b.check(t)
 }
 
-// A host whose tries mostly fail, though its probes are answered, loses weight at once and gets it back as they succeed.
+// A host whose tries mostly fail, though its probes are answered, loses weight at once and gets it back as
+// they succeed.
 func TestFailingHost(t *testing.T) {
 	b := start(plain(), 4)
 	sums := alike(4, [3]float64{10, 0, 200})
@@ -256,8 +257,9 @@
 	b.check(t)
 }
 
-// The ordinary messages of the window are used up when the last host that the tables hold drains: the host that is to
-// take its place goes out in the same message, so that no proxy is left bare until the window moves on.
+// The ordinary messages of the window are used up when the last host that the tables hold drains: the host
+// that is to take its place goes out in the same message, so that no proxy is left bare until the window
+// moves on.
 func TestReturnGoesWithRemoval(t *testing.T) {
 	set := plain()
 	set.MessagesMost = 20
@@ -276,7 +278,8 @@
 	b.check(t)
 }
 
-// A steward that has just started over hears of a cold host before it has any sums: the host waits for them.
+// A steward that has just started over hears of a cold host before it has any sums: the host waits for
+// them.
 func TestColdBeforeSums(t *testing.T) {
 	b := start(plain(), 3)
 	b.ListChange()
@@ -286,15 +289,15 @@
 	b.check(t)
 }
 
-// A zone of busy hosts leaves its probes unanswered while the one host of the other zone has just started: that is no
-// cut, the busy ones stay in, and the cold one does not get what they cannot take.
+// A zone of busy hosts leaves its probes unanswered while the one host of the other zone has just started:
+// that is no cut, the busy ones stay in, and the cold one does not get what they cannot take.
 func TestColdIsNoEvidence(t *testing.T) {
 	set := plain()
 	set.Ejects, set.Admits = 3, false
-	b := start(set, 1)
-	for _, h := range []int{2, 4} {
-		b.Entry(h, 0, Ready, 1, 0)
-	}
+	b := start(set, 5)
+	b.ListChange()
+	b.Entry(1, 1, Gone, 1, 0)
+	b.Entry(3, 1, Gone, 1, 0)
 	b.Round(b.now, b)
 	sums := alike(5, [3]float64{30, 30, 0})
 	b.probes(5000, sums, func(int) Outcome { return Silent })
@@ -303,3 +306,15 @@
 	b.probes(1000, sums, func(int) Outcome { return Silent })
 	b.check(t)
 }
+
+// All hosts restart at once: nobody is sent to them until together they can bear the fleet's traffic.
+func TestColdOnly(t *testing.T) {
+	b := start(plain(), 2)
+	sums := alike(2, [3]float64{10, 0, 200})
+	b.run(5000, sums)
+	b.ListChange()
+	b.Entry(0, 0, Ready, 1, b.now-100)
+	b.Entry(1, 1, Ready, 1, b.now-100)
+	b.run(5000, sums)
+	b.check(t)
+}
