--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,7 +40,7 @@
 	keepPart     = 0.34 // of the listed weight stays in the tables whatever the probes say
 	stormPart    = 0.6  // of the servers, and of their tries, fail in a storm of repeats
 	coldOnlyPart = 2.0  // times the fleet's listed weight: what cold servers alone must be able to bear of it
-	budgetPart   = 0.25 // of a cold server's budget may be used: servers may be half as fast as listed, and waver
+	budgetPart   = 0.25 // of a cold server's budget is used: it may be half as fast as listed
 	shunned      = 0.1  // chance of failures in a row over which a fleet that shuns gets no cold server
 	shedAbove    = 0.9  // busy cores that may mean overload
 	shedTo       = 0.85 // busy cores aimed at by a change of level
@@ -653,7 +653,8 @@
 func (s *Steward) left(zone int, held bool) bool {
 	for _, h := range s.order {
 		v := &s.servers[h]
-		if (zone < 0 || v.zone == zone) && (!held || v.told > 0) && s.warmth(v, s.guard) >= 1 && s.want(v, false) > 0 {
+		here := (zone < 0 || v.zone == zone) && (!held || v.told > 0)
+		if here && s.warmth(v, s.guard) >= 1 && s.want(v, false) > 0 {
 			return true
 		}
 	}
@@ -738,8 +739,10 @@
 			lines += tables
 		}
 		change := math.Abs(want - v.told)
-		urgent := change > 0 && (want == 0 || thin || s.warmth(v, s.guard) < 1 && want < v.told*0.9)
-		if urgent && (soon || drains && v.phase != Ready) || open && change > worthTell*math.Max(v.told, floorPart*v.listed) {
+		urgent := change > 0 && (want == 0 || thin && v.told == 0 ||
+			s.warmth(v, s.guard) < 1 && want < v.told*0.9)
+		worth := change > worthTell*math.Max(v.told, floorPart*v.listed)
+		if urgent && (soon || drains && v.phase != Ready) || open && worth {
 			v.told = want
 			w.Line(0, h, want)
 			if s.local != 0 {
