--- a/decide/decide.go
+++ b/decide/decide.go
@@ -94,8 +94,7 @@
 
 	now, wakeAt float64
 	knowing     float64 // sums from then on show our own first orders
-	someWarm    bool    // some ready server is warm
-	coldOnly    bool    // no ready server is warm, and the cold ones together can bear the traffic
+	heats       bool    // cold servers may be sent to
 	counter     uint64
 	servers     []server
 	order       []int // hosts in the order they were first listed
@@ -106,14 +105,14 @@
 	local       int    // classes that stay in their zone
 	dues        []due  // by time
 
-	listKnown, watching, askFailed bool
-	askWait                        float64
+	listKnown, askFailed bool
+	askWait              float64
 
 	heard              bool
-	heardAt, gap       float64 // time of the last report round; how much later than usual they have come
-	settle             float64 // until a move shows in the sums
-	median, fulfilled  float64 // median R; part of the tries fulfilled
-	came, newCame      []float64
+	heardAt, gap       float64   // time of the last report round; how much later than usual they have come
+	settle             float64   // until a move shows in the sums
+	median, fulfilled  float64   // median R; part of the tries fulfilled
+	came               []float64 // faded: transactions that came, by class
 	level, levelHold   float64
 	lowFulfilled       float64
 	shares, toldShares []float64
@@ -133,8 +132,8 @@
 		heardAt: -1, level: 1, tries: 1, toldTries: fleet.UsualTries, fulfilled: 1}
 	s.settle = channel.Late + 2*fleet.Period
 	n := len(classes)
-	s.came, s.newCame = make([]float64, n), make([]float64, n)
-	s.shares, s.toldShares, s.zoneBack = make([]float64, n), make([]float64, n), make([]bool, fleet.Zones)
+	s.came, s.shares, s.toldShares = make([]float64, n), make([]float64, n), make([]float64, n)
+	s.zoneBack = make([]bool, fleet.Zones)
 	for c := range classes {
 		s.shares[c], s.toldShares[c] = 1, 1
 		if classes[c].Local {
@@ -157,11 +156,6 @@
 	return &s.servers[h]
 }
 
-func (s *Steward) proxy(p int) *proxy {
-	s.proxies = grown(s.proxies, p+1, proxy{})
-	return &s.proxies[p]
-}
-
 // share is the part of all proxies that are joined here.
 func (s *Steward) share() float64 { return float64(max(s.joined, 1)) / float64(s.fleet.Proxies) }
 
@@ -170,11 +164,13 @@
 	for i := range s.servers {
 		s.servers[i].phase = Gone
 	}
-	s.listKnown, s.watching = s.listKnown || !cached, s.watching || !cached
+	if !cached {
+		s.listKnown, s.askWait = true, 0
+	}
 }
 
 // ListChange notes that the entries which follow are changes.
-func (s *Steward) ListChange() { s.watching = true }
+func (s *Steward) ListChange() { s.askWait = 0 }
 
 // ListFailed notes that a call for the list failed or that the list no longer sends its changes.
 func (s *Steward) ListFailed() { s.askFailed = true }
@@ -200,55 +196,52 @@
 	}
 }
 
-// Joined notes that a proxy's stream stands.
 func (s *Steward) Joined(p, zone int) {
 	s.Left(p)
+	s.proxies = grown(s.proxies, p+1, proxy{})
+	s.proxies[p] = proxy{zone: zone, joined: true}
 	s.joined++
-	*s.proxy(p) = proxy{zone: zone, joined: true}
 	s.zoneBack[zone] = true
 }
 
-// Left notes that a proxy's stream broke.
 func (s *Steward) Left(p int) {
-	if v := s.proxy(p); v.joined {
-		v.joined = false
+	if p < len(s.proxies) && s.proxies[p].joined {
+		s.proxies[p].joined = false
 		s.joined--
 	}
 }
 
-// Heard notes sums of what proxies met at a host.
 func (s *Steward) Heard(host, tries, failed int, mean, span float64, load Load) {
 	v := s.server(host)
 	good := float64(max(tries-failed, 0))
 	f := &v.fresh
 	f.good, f.bad, f.time = f.good+good, f.bad+float64(failed), f.time+mean*good
 	f.span = math.Max(f.span, span)
+	v.note(load)
+	s.heard = true
+}
+
+func (v *server) note(load Load) {
 	if load != NoLoad {
 		v.load = load
 	}
-	s.heard = true
 }
 
-// Usage notes the transactions of a class that came to a proxy.
-func (s *Steward) Usage(class, came int) { s.newCame[class] += float64(came) }
+func (s *Steward) Usage(class, came int) { s.came[class] += float64(came) }
 
-// Answered notes that a proxy applied the messages up to a mark.
 func (s *Steward) Answered(number int) {
 	if number == s.mark {
 		s.answered++
 	}
 }
 
-// Probed notes the end of a probe.
 func (s *Steward) Probed(host int, how Outcome, load Load) {
 	v := s.server(host)
 	v.probing = false
 	switch how {
 	case Fine:
 		v.strikes, v.fine = 0, v.fine+1
-		if load != NoLoad {
-			v.load = load
-		}
+		v.note(load)
 	case Silent, Unreachable:
 		v.strikes, v.fine, v.absent = v.strikes+1, 0, how == Unreachable
 	}
@@ -333,9 +326,6 @@
 	if s.wakeAt < 0 {
 		w.Watch()
 	}
-	if s.watching {
-		s.askWait, s.watching = 0, false
-	}
 	if s.askFailed {
 		s.askFailed = false
 		s.askWait = math.Min(math.Max(2*s.askWait, 250), 4000)
@@ -350,9 +340,6 @@
 		s.gap = math.Max(s.now-s.heardAt-period, s.gap*memory)
 	}
 	s.heardAt, s.heard = s.now, false
-	for c := range s.came {
-		s.came[c], s.newCame[c] = s.came[c]*memory+s.newCame[c], 0
-	}
 	s.estimate(s.share(), period)
 	s.shift()
 	if s.fleet.Admits {
@@ -482,6 +469,7 @@
 		good, slow = good+v.rate, slow+v.rate*v.r
 	}
 	for c := range s.came {
+		s.came[c] *= memory
 		came, dueTime = came+s.came[c], dueTime+s.came[c]*classes[c].Due
 	}
 	if n <= 0 || s.now < s.levelHold {
@@ -661,26 +649,38 @@
 	return false
 }
 
-// want is the weight that a server should have in the tables. A cold one gets no more than the least it can
-// surely do, less where the fleet fails tries: all proxies together then stay under its budget, which is a
-// multiple of that.
+// heat tells whether cold servers may be sent to at all. Proxies that shun hosts after failures of their own would
+// send all they have to a fresh one, and until sums show our own first orders nobody knows how the fleet fares under
+// them. Where no ready server is warm, the cold ones must together bear the traffic.
+func (s *Steward) heat(ejects, multiple float64) bool {
+	warm, able, all := false, 0.0, 0.0
+	for _, h := range s.order {
+		v := &s.servers[h]
+		all += v.listed
+		if v.phase == Ready {
+			able += v.listed * s.warmth(v, s.guard)
+			warm = warm || s.warmth(v, s.guard) >= 1
+		}
+	}
+	if !warm {
+		return able*multiple >= coldOnlyPart*all
+	}
+	return s.heardAt >= s.knowing && (ejects == 0 || math.Pow(1-s.fulfilled, ejects) <= shunned)
+}
+
+// want is the weight that a server should have in the tables. A cold one gets no more than the least it can surely
+// do, less where the fleet fails tries: all proxies together then stay under its budget, a multiple of that.
 func (s *Steward) want(v *server, bare bool) float64 {
 	if v.phase != Ready || !bare && (v.out || s.resting && !v.kept) {
 		return 0
 	}
 	warm := s.warmth(v, s.guard)
-	if warm < 1 {
+	if warm < 1 && !s.heats {
+		return 0
+	} else if warm < 1 {
 		warm *= s.fulfilled * math.Min(1, s.guard.FallMultiple*budgetPart)
-		// Proxies that shun hosts after failures of their own would send all they have to a fresh one;
-		// and until the sums show our own first orders nobody knows how the fleet fares under them.
-		e := s.fleet.Ejects
-		if !s.coldOnly && (!s.someWarm || s.heardAt < s.knowing ||
-			e > 0 && math.Pow(1-s.fulfilled, float64(e)) > shunned) {
-			return 0
-		}
 	}
-	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails as a whole
-	// does not.
+	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails does not.
 	trust := (v.won + 2) / (v.won + v.lost + 2)
 	if trust > distrust*s.fulfilled {
 		trust = 1
@@ -717,16 +717,7 @@
 	open := s.mark == 0 || float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
 	open, soon, drains := open && fits(0.5, 0.75), fits(0.8, 0.9), fits(0.95, 0.95)
 	none, few := !s.left(-1, false), !s.left(-1, true)
-	warm, able, all := false, 0.0, 0.0
-	for _, h := range s.order {
-		v := &s.servers[h]
-		all += v.listed
-		if v.phase == Ready {
-			able += v.listed * s.warmth(v, s.guard)
-			warm = warm || s.warmth(v, s.guard) >= 1
-		}
-	}
-	s.someWarm, s.coldOnly = warm, !warm && able*s.guard.FallMultiple >= coldOnlyPart*all
+	s.heats = s.heat(float64(s.fleet.Ejects), s.guard.FallMultiple)
 	lines, wrote := 0, 0
 	for _, h := range s.order {
 		v := &s.servers[h]
