--- a/decide/decide.go
+++ b/decide/decide.go
@@ -487,7 +487,7 @@
 	if s.level == was {
 		return
 	}
-	s.levelHold = s.now + s.settle + s.gap - s.fleet.Period/2 // so as not to miss a report round
+	s.levelHold = s.now + s.settle + s.gap
 	w.Log(fmt.Sprintf("level %.2f: busy %.2f, fulfilled %.2f, R %.0f of %.0f ms", s.level, busy, s.fulfilled,
 		slow, dueTime))
 	s.tries = int(s.level) // none while less than all is let in
