--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -318,3 +318,18 @@
 	b.run(5000, sums)
 	b.check(t)
 }
+
+// A steward starts over from its cached list while proxies still hold old tables and a way of trying again that could
+// repeat effects: they are bound at once, the way is set first, and what the whole list lacks is removed.
+func TestStartOver(t *testing.T) {
+	set := plain()
+	set.UsualTries = 3
+	b := start(set, 3)
+	b.WholeList(false)
+	b.Entry(0, 0, Ready, 1, 0)
+	b.Entry(2, 0, Ready, 1, 400)
+	b.now = 1050
+	b.Answered(7)
+	b.Round(b.now, b)
+	b.check(t)
+}
