--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -14,9 +14,8 @@
 	return m
 }
 
-// Cap by hand: d = 4 x 250 ms, K = ln 20 / 1 s = 2.996/s. At 10/s and 250 ms, mu = 14 and the cap 11.004;
-// at 10/s and 1 s, mu = 11 and the cap 8.004; at 1/s and 2 s, mu = 1.5 and half of it, 0.75, is more than
-// mu - K.
+// Cap by hand: d = 3.2 x 250 ms, K = ln 20 / 0.8 s = 3.745/s. At 10/s and 250 ms, mu = 14 and the cap 10.255; at
+// 10/s and 1 s, mu = 11 and the cap 7.255; at 1/s and 2 s, mu = 1.5 and half of it, 0.75, is more than mu - K.
 func TestCap(t *testing.T) {
 	b := &bench{}
 	for _, c := range [][2]float64{{10, 250}, {10, 1000}, {1, 2000}} {
@@ -26,6 +25,23 @@
 	b.check(t)
 }
 
+// Moves by hand, K = 3.745/s as above, 10/s at each host. Host 0 (zone 0, 500 ms) has mu 12, cap 8.255, excess 1.745.
+// Host 1 (zone 0, 250 ms) has mu 14, cap 10.255, room 0.255 and comes first; host 2 (zone 1, 200 ms) has mu 15, cap
+// 11.255, room 1.255. So 0.255 and 1.255 of 30/s move, a tenth of that in weight: 0.849, 1.0255, 1.1255.
+func TestMovesByHand(t *testing.T) {
+	b := start(plain(), 3)
+	b.median = 250
+	for h, r := range []float64{500, 250, 200} {
+		v := &b.servers[h]
+		v.zone, v.rate, v.r, v.past.good = h/2, 10, r, 50
+	}
+	b.shift()
+	for h := range b.servers {
+		b.say("host %d weight %.4f", h, b.servers[h].weight)
+	}
+	b.check(t)
+}
+
 // The slow host 0 sheds to its own zone first, and its weight comes back when it is well again.
 func TestMoveAndDrift(t *testing.T) {
 	b := start(plain(), 4)
