--- a/decide/decide.go
+++ b/decide/decide.go
@@ -665,11 +665,9 @@
 	if !warm {
 		return able*multiple >= coldOnlyPart*all
 	}
-	return s.heardAt >= s.knowing && (s.rested() || ejects == 0 || math.Pow(1-s.fulfilled, ejects) <= shunned)
+	return s.heardAt >= s.knowing && (ejects == 0 || math.Pow(1-s.fulfilled, ejects) <= shunned)
 }
 
-func (s *Steward) rested() bool { return !s.resting && s.now < s.stormNext }
-
 // want is the weight that a server should have in the tables. A cold one gets no more than the least it can surely
 // do, less where the fleet fails tries: all proxies together then stay under its budget, a multiple of that.
 func (s *Steward) want(v *server, bare bool) float64 {
@@ -680,12 +678,7 @@
 	if warm < 1 && !s.heats {
 		return 0
 	} else if warm < 1 {
-		if s.rested() {
-			warm *= 0.2
-		} else {
-			warm *= s.fulfilled
-		}
-		warm *= math.Min(1, s.guard.FallMultiple*budgetPart)
+		warm *= s.fulfilled * math.Min(1, s.guard.FallMultiple*budgetPart)
 	}
 	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails does not.
 	trust := (v.won + 2) / (v.won + v.lost + 2)
