--- a/decide/decide.go
+++ b/decide/decide.go
@@ -717,7 +717,10 @@
 	open := s.mark == 0 || float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
 	open, soon, drains := open && fits(0.5, 0.75), fits(0.8, 0.9), fits(0.95, 0.95)
 	none, few := !s.left(-1, false), !s.left(-1, true)
-	s.heats = s.heat(float64(s.fleet.Ejects), s.guard.FallMultiple)
+	if heats := s.heat(float64(s.fleet.Ejects), s.guard.FallMultiple); heats != s.heats {
+		s.heats = heats
+		w.Log(fmt.Sprintf("cold hosts held back: %v, fulfilled %.2f", !heats, s.fulfilled))
+	}
 	lines, wrote := 0, 0
 	for _, h := range s.order {
 		v := &s.servers[h]
