Send orders in pieces that fit; a few hosts first or under strain; sums by their own cycle

Cause (grown sites, full size): a message was only sent if the largest possible one fitted the channel, which at 140 to 500 lines for 50 to 300 proxies it never does: no weight, withdrawal or drain went out at all. Sums come round all servers in 2 to 4 s, not in one period, so rates were read low and hosts dry. Changes: each line is counted against the channel and goes by rank (drains, guards, joins, weights by size) with a part of the caps each; what waits is known from answered marks; weights and whole tables are paced by the price of orders; a proxy that cannot have the whole table within 0.3 of the grace first gets a table of six hosts or more; the same under strain (half of the hosts fail tries, a fifth though idle); rates and waits go by the cycle of the sums; a receiver has no more room than its reported busy cores leave. Types and noting methods are in decide/state.go.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,37 +8,50 @@
 package decide
 
 import (
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
 	"math"
+	"slices"
 	"sort"
 )
 
 const (
-	tick         = 200.0  // ms between rounds of periodic work
-	epsilon      = 0.05   // part of the transactions that may miss the deadline d
-	dMedians     = 3.2    // d as a multiple of the median response time: a median server has a little room
-	capLeast     = 0.5    // the cap is never under this part of the service rate
-	floorPart    = 0.1    // a server keeps this part of its listed share
-	driftPart    = 0.05   // of the way back to the listed weight, each report round
-	memory       = 0.8    // what earlier sums count for after a report round
-	shortly      = 0.5    // the same for the share of tries fulfilled
-	distrust     = 0.8    // of the fleet's share of tries fulfilled; a server under it loses weight
-	average      = 4.0    // answers of median time that each server is taken to have given besides
-	ackPart      = 0.8    // of the proxies answered a mark: the next changes may go
-	ackWait      = 2000.0 // or so long after it
-	worthTell    = 0.06   // relative change of a weight that is worth a line
-	slowest      = 0.5    // the channel is taken to run at this part of its pace
-	probePart    = 0.003  // of the result may go into the price of probes
-	probeSoon    = 300.0  // ms until a host that left a probe unanswered is asked again
-	silences     = 3      // unanswered probes in a row that may prove a server silent
-	absences     = 2      // unanswered probes in a row that prove a server absent, or count for a cut
-	cutPart      = 0.75   // of a zone's servers unanswered, and of another's answered, make a cut
-	trialPart    = 0.4    // of its weight a server returns with, doubling each trialStep
+	tick         = 200.0   // ms between rounds of periodic work
+	epsilon      = 0.05    // part of the transactions that may miss the deadline d
+	dMedians     = 3.2     // d as a multiple of the median response time: a median server has a little room
+	capLeast     = 0.5     // the cap is never under this part of the service rate
+	floorPart    = 0.1     // a server keeps this part of its listed share
+	driftPart    = 0.05    // of the way back to the listed weight, each report round
+	memory       = 0.8     // what earlier sums count for after a report round
+	shortly      = 0.5     // the same for the share of tries fulfilled
+	distrust     = 0.8     // of the fleet's share of tries fulfilled; a server under it loses weight
+	average      = 4.0     // answers of median time that each server is taken to have given besides
+	ackPart      = 0.8     // of the proxies answered a mark: the next changes may go
+	ackWait      = 2000.0  // or so long after it
+	worthTell    = 0.06    // relative change of a weight that is worth a line
+	ordersPart   = 0.03    // of the result may go into the price of weights
+	gather       = 250.0   // ms in which urgent orders gather into one message
+	drainsTo     = 0.95    // of the channel's caps may be filled by removals of hosts that drain or are gone
+	guardsTo     = 0.7     // by withdrawals, by what guards cold hosts and by tables of a few hosts
+	weightsTo    = 0.45    // by weights and levels
+	joinsTo      = 0.35    // by whole tables
+	inTime       = 0.3     // of the grace for drains: joining proxies get a table of ours
+	handLeast    = 6       // hosts in a proxy's own table
+	strainPart   = 0.2     // of the tries fail at hosts that are not busy
+	strainIdle   = 0.2     // of the hosts heard are such, and half of them fail, in a strain
+	traffic      = 0.3     // of a proxy's rate follows its last sums
+	shortHand    = 0.7     // of its due weight, under which a hand is filled up
+	dealtFirst   = 30000.0 // ms that tables of a few hosts are kept under strain
+	idleQueue    = 0.5     // busy cores of a server that reports no waiting transaction
+	slowest      = 0.5     // the channel is taken to run at this part of its pace
+	probePart    = 0.003   // of the result may go into the price of probes
+	probeSoon    = 300.0   // ms until a host that left a probe unanswered is asked again
+	silences     = 3       // unanswered probes in a row that may prove a server silent
+	absences     = 2       // unanswered probes in a row that prove a server absent, or count for a cut
+	cutPart      = 0.75    // of a zone's servers unanswered, and of another's answered, make a cut
+	trialPart    = 0.4     // of its weight a server returns with, doubling each trialStep
 	trialStep    = 1000.0
 	keepPart     = 0.34 // of the listed weight stays in the tables whatever the probes say
-	stormPart    = 0.6  // of the servers, and of their tries, fail in a storm of repeats
+	triesAbove   = 0.8  // of all tries are fulfilled where further tries help and no level is heeded
 	coldOnlyPart = 2.0  // times the fleet's listed weight: what cold servers alone must be able to bear of it
 	budgetPart   = 0.25 // of a cold server's budget is used: it may be half as fast as listed
 	shunned      = 0.1  // chance of failures in a row over which a fleet that shuns gets no cold server
@@ -49,132 +62,24 @@
 	unlimited    = 1e6 // a level where shares are not heeded
 )
 
-// sums of what proxies met at a server.
-type sums struct{ good, bad, time, span float64 }
-
-// server is what the steward knows of one host.
-type server struct {
-	zone            int
-	phase           Phase
-	seen            bool    // on a list
-	listed, started float64 // listed weight; last known start, or -1 where that is long ago
-	weight          float64 // where the moves have put it, as a listed weight
-	told            float64 // what the tables hold
-	fresh, past     sums    // since the last report round; faded sums of the rounds before
-	load            Load    // as last reported
-	rate, r         float64 // λ and R
-	hold            float64 // no move before this time
-	dry             bool    // no try was fulfilled in the last report round
-	strikes, fine   int     // probes in a row unanswered, answered
-	absent          bool    // the last unanswered probe found nothing there
-	probing, kept   bool    // a probe is out; the one server that does not rest
-	out             bool    // withdrawn
-	part            float64 // of its weight, under 1 on trial
-	won, lost       float64 // faded fast: tries fulfilled and failed, also while a move has yet to show
-}
-
-type proxy struct {
-	zone          int
-	joined, bound bool
-}
-
-// due is work for a later time.
-type due struct {
-	at float64
-	do func(Writer)
-}
-
-// Steward decides for one instance.
-type Steward struct {
-	fleet   Fleet
-	classes []Class
-	channel Channel
-	guard   Guard
-	goal    Goal
-
-	now, wakeAt float64
-	knowing     float64 // sums from then on show our own first orders
-	heats       bool    // cold servers may be sent to
-	counter     uint64
-	servers     []server
-	order       []int // hosts in the order they were first listed
-	planned     int   // so many of them are probed
-	proxies     []proxy
-	joined      int
-	zoneBack    []bool // a proxy of the zone has joined since the last round
-	local       int    // classes that stay in their zone
-	dues        []due  // by time
-
-	listKnown, askFailed bool
-	askWait              float64
-
-	heard              bool
-	heardAt, gap       float64   // time of the last report round; how much later than usual they have come
-	settle             float64   // until a move shows in the sums
-	median, fulfilled  float64   // median R; part of the tries fulfilled
-	came               []float64 // faded: transactions that came, by class
-	level, levelHold   float64
-	lowFulfilled       float64
-	shares, toldShares []float64
-	tries, toldTries   int
-	storm              int
-	resting            bool // in a storm
-	stormNext          float64
-
-	mark, marked, answered   int
-	markAt, queued, queuedAt float64
-	sent                     []float64
-}
-
 // New makes the steward of an instance that has just started.
 func New(fleet Fleet, classes []Class, channel Channel, guard Guard, goal Goal) *Steward {
 	s := &Steward{fleet: fleet, classes: classes, channel: channel, guard: guard, goal: goal, wakeAt: -1,
 		heardAt: -1, level: 1, tries: 1, toldTries: fleet.UsualTries, fulfilled: 1}
-	s.settle = channel.Late + 2*fleet.Period
+	s.late, s.cycle, s.settle = channel.Late, fleet.Period, channel.Late+2*fleet.Period
 	n := len(classes)
 	s.came, s.shares, s.toldShares = make([]float64, n), make([]float64, n), make([]float64, n)
 	s.zoneBack = make([]bool, fleet.Zones)
 	for c := range classes {
 		s.shares[c], s.toldShares[c] = 1, 1
-		if classes[c].Local {
-			s.local |= 1 << c
-		}
+		s.local = s.local || classes[c].Local
 	}
 	return s
 }
 
-// grown gives the list with at least n entries, new ones as fresh.
-func grown[T any](list []T, n int, fresh T) []T {
-	for len(list) < n {
-		list = append(list, fresh)
-	}
-	return list
-}
-
-func (s *Steward) server(h int) *server {
-	s.servers = grown(s.servers, h+1, server{started: -1, part: 1, load: NoLoad})
-	return &s.servers[h]
-}
-
 // share is the part of all proxies that are joined here.
 func (s *Steward) share() float64 { return float64(max(s.joined, 1)) / float64(s.fleet.Proxies) }
 
-// WholeList notes that the entries which follow are the whole list.
-func (s *Steward) WholeList(cached bool) {
-	for i := range s.servers {
-		s.servers[i].phase = Gone
-	}
-	if !cached {
-		s.listKnown, s.askWait = true, 0
-	}
-}
-
-// ListChange notes that the entries which follow are changes.
-func (s *Steward) ListChange() { s.askWait = 0 }
-
-// ListFailed notes that a call for the list failed or that the list no longer sends its changes.
-func (s *Steward) ListFailed() { s.askFailed = true }
-
 // Entry notes an entry of the list. A new id or a new start time is a start; a weight of 0 says nothing.
 func (s *Steward) Entry(host, zone int, phase Phase, listed, started float64) {
 	v := s.server(host)
@@ -192,58 +97,7 @@
 	v.seen, v.zone, v.phase, v.listed = true, zone, phase, listed
 	if started > 0 && started != v.started {
 		*v = server{zone: zone, phase: phase, seen: true, listed: listed, started: started, weight: listed,
-			r: s.median, told: v.told, load: NoLoad, probing: v.probing, part: 1}
-	}
-}
-
-func (s *Steward) Joined(p, zone int) {
-	s.Left(p)
-	s.proxies = grown(s.proxies, p+1, proxy{})
-	s.proxies[p] = proxy{zone: zone, joined: true}
-	s.joined++
-	s.zoneBack[zone] = true
-}
-
-func (s *Steward) Left(p int) {
-	if p < len(s.proxies) && s.proxies[p].joined {
-		s.proxies[p].joined = false
-		s.joined--
-	}
-}
-
-func (s *Steward) Heard(host, tries, failed int, mean, span float64, load Load) {
-	v := s.server(host)
-	good := float64(max(tries-failed, 0))
-	f := &v.fresh
-	f.good, f.bad, f.time = f.good+good, f.bad+float64(failed), f.time+mean*good
-	f.span = math.Max(f.span, span)
-	v.note(load)
-	s.heard = true
-}
-
-func (v *server) note(load Load) {
-	if load != NoLoad {
-		v.load = load
-	}
-}
-
-func (s *Steward) Usage(class, came int) { s.came[class] += float64(came) }
-
-func (s *Steward) Answered(number int) {
-	if number == s.mark {
-		s.answered++
-	}
-}
-
-func (s *Steward) Probed(host int, how Outcome, load Load) {
-	v := s.server(host)
-	v.probing = false
-	switch how {
-	case Fine:
-		v.strikes, v.fine = 0, v.fine+1
-		v.note(load)
-	case Silent, Unreachable:
-		v.strikes, v.fine, v.absent = v.strikes+1, 0, how == Unreachable
+			r: s.median, told: v.told, load: NoLoad, probing: v.probing, back: longAgo}
 	}
 }
 
@@ -278,29 +132,6 @@
 	s.publish(w, s.channel)
 }
 
-// chance gives the next figure from 0 to 1.
-func (s *Steward) chance() float64 {
-	s.counter++
-	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, s.fleet.Seed), s.counter)
-	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
-}
-
-func (s *Steward) add(in float64, do func(Writer)) {
-	at := s.now + in
-	i := sort.Search(len(s.dues), func(i int) bool { return s.dues[i].at > at })
-	s.dues = append(s.dues, due{})
-	copy(s.dues[i+1:], s.dues[i:])
-	s.dues[i] = due{at, do}
-}
-
-// step lets a server on trial take more of its weight.
-func (s *Steward) step(h int) {
-	if v := &s.servers[h]; !v.out && v.part < 1 {
-		v.part = math.Min(1, v.part*2)
-		s.add(trialStep, func(Writer) { s.step(h) })
-	}
-}
-
 // probe examines a host, and again after a while that keeps the price of probes under a small part of the
 // result.
 func (s *Steward) probe(w Writer, h int) {
@@ -310,12 +141,12 @@
 		w.Probe(h)
 	}
 	every, total := probeSoon, 1e-9
-	if v.strikes == 0 || v.out {
+	if v.strikes == 0 || v.strikes > silences || v.out {
 		for _, h := range s.order {
 			total += s.servers[h].rate
 		}
 		every = float64(len(s.order)*s.fleet.Instances) * s.goal.ProbePrice / (probePart * total) * 1000
-		every = math.Min(math.Max(every, 500), 2000)
+		every = math.Min(math.Max(every, 500), 4000)
 	}
 	s.add(every, func(w Writer) { s.probe(w, h) })
 }
@@ -336,16 +167,25 @@
 
 // report takes in a round of sums and moves load. Without sums nothing of this happens and the tables stay.
 func (s *Steward) report(w Writer, period float64) {
+	passed := period
 	if s.heardAt >= 0 {
-		s.gap = math.Max(s.now-s.heardAt-period, s.gap*memory)
+		passed = s.now - s.heardAt
+		s.gap = math.Max(passed-period, s.gap*memory)
 	}
 	s.heardAt, s.heard = s.now, false
-	s.estimate(s.share(), period)
+	for i := range s.proxies {
+		if p := &s.proxies[i]; p.span > 0 {
+			p.rate += traffic * (p.came/p.span*1000 - p.rate)
+			p.came, p.span = 0, 0
+		}
+	}
+	s.estimate(s.share(), period, passed)
 	s.shift()
+	s.strain(w)
 	if s.fleet.Admits {
 		s.admit(w, s.classes, s.goal)
-	} else {
-		s.relieve(w, s.classes, s.guard.Bare/2)
+	} else if s.tries = 1; s.fulfilled < triesAbove {
+		s.tries = 0
 	}
 }
 
@@ -353,22 +193,32 @@
 // over our share of the proxies. A failed try counts as one that took the deadline d, so that quick errors
 // and few answers never read as room; it stays out of the median. Average answers keep a noisy R of few
 // answers from faking overload.
-func (s *Steward) estimate(share, period float64) {
+func (s *Steward) estimate(share, period, passed float64) {
 	var heard []float64
-	good, all := 1.0, 1.0
+	good, all, spans, n := 1.0, 1.0, 0.0, 1e-9
+	for _, h := range s.order {
+		if f := s.servers[h].fresh; f.span > 0 {
+			spans, n = spans+f.span, n+1
+		}
+	}
+	s.cycle = math.Max(period, shortly*s.cycle+(1-shortly)*spans/n)
+	s.settle = s.late + 2*s.cycle
+	keep, soon := math.Pow(memory, passed/s.cycle), math.Pow(shortly, passed/s.cycle)
 	for _, h := range s.order {
 		v := &s.servers[h]
 		f, p := v.fresh, &v.past
 		v.fresh = sums{}
 		good, all = good+f.good, all+f.good+f.bad
-		v.won, v.lost = v.won*shortly+f.good, v.lost*shortly+f.bad
-		v.dry = f.good == 0
-		if s.now < v.hold-period { // from before the last move showed
+		v.won, v.lost = v.won*soon+f.good, v.lost*soon+f.bad
+		if f.good > 0 {
+			v.fed = s.now
+		}
+		if s.now < v.hold-s.cycle { // from before the last move showed
 			*p = sums{}
 			continue
 		}
-		p.good, p.bad, p.time = p.good*memory+f.good, p.bad*memory+f.bad, p.time*memory+f.time
-		p.span = p.span*memory + math.Max(f.span, period)
+		p.good, p.bad, p.time = p.good*keep+f.good, p.bad*keep+f.bad, p.time*keep+f.time
+		p.span = p.span*keep + passed
 		v.r = (p.time + (p.bad*dMedians+average)*s.median) / (p.good + p.bad + average)
 		v.rate = (p.good + p.bad) / p.span * 1000 / share
 		if v.load.Rate >= 0 {
@@ -387,7 +237,7 @@
 
 // serving servers take part in moves: ready, in the tables with their full weight, and warm.
 func (s *Steward) serving(v *server) bool {
-	return v.phase == Ready && !v.out && v.part >= 1 && s.warmth(v, s.guard) >= 1
+	return v.phase == Ready && !v.out && s.part(v) >= 1 && s.warmth(v, s.guard) >= 1
 }
 
 // warmth is the least part of its capacity that a server has after its start.
@@ -426,6 +276,9 @@
 			continue
 		}
 		l := load{v, v.rate - capOf(v.rate, v.r, s.median), v.rate * (1 - floorPart*v.listed/v.weight)}
+		if b := v.load.busy(); b > 0 { // several cores: R stays short until nearly all are busy
+			l.excess = math.Max(l.excess, math.Min(0, v.rate*(1-shedTo/b)))
+		}
 		all = append(all, l)
 		if math.Min(l.excess, l.can) > worthTell*v.rate {
 			over = append(over, l)
@@ -463,8 +316,8 @@
 	busy, n, good, slow, came, dueTime := 0.0, 0.0, 1e-9, 0.0, 1e-9, 0.0
 	for _, h := range s.order {
 		v := &s.servers[h]
-		if s.serving(v) && v.load.Util >= 0 {
-			busy, n = busy+v.load.Util*v.weight, n+v.weight
+		if b := v.load.busy(); s.serving(v) && b >= 0 {
+			busy, n = busy+b*v.weight, n+v.weight
 		}
 		good, slow = good+v.rate, slow+v.rate*v.r
 	}
@@ -510,76 +363,37 @@
 		return earn[order[i]]*work[order[j]] < earn[order[j]]*work[order[i]]
 	})
 	low, cut := order[0], (1-s.level)*allWork
-	cost := (goal.Whole*earn[low]/allEarn + goal.WorstClass) * allWork / work[low]
+	even := (goal.Whole*earn[low]/allEarn+goal.WorstClass)*allWork/work[low] >= goal.Whole+goal.WorstClass
 	for _, c := range order {
-		s.shares[c] = s.level
-		if cost < goal.Whole+goal.WorstClass {
-			part := math.Min(cut, work[c]*(1-levelLeast))
+		part := math.Min(cut, work[c]*(1-levelLeast))
+		if s.shares[c] = s.level; !even {
 			s.shares[c], cut = 1-part/work[c], cut-part
 		}
 	}
 }
 
-// relieve ends a storm of repeats where proxies heed no level: nearly every server fails nearly all tries,
-// and the work that clients gave up on keeps it so after the cause is gone. All but one server rest until
-// the patience of every class is over, then all return together with emptier queues. It must not act on a
-// cut or a hang, where some servers fulfil; under a lasting lack of capacity it trades a steady failure for
-// good spells.
-func (s *Steward) relieve(w Writer, classes []Class, most float64) {
-	n, failing, keep := 0.0, 0.0, -1
-	for _, h := range s.order {
-		v := &s.servers[h]
-		if tries := v.past.good + v.past.bad; tries >= 1 {
-			n++
-			if v.past.bad > stormPart*tries {
-				failing++
-			}
-		}
-		if s.serving(v) && (keep < 0 || v.listed > s.servers[keep].listed) {
-			keep = h
-		}
-	}
-	s.tries, s.storm = 1, s.storm+1
-	if s.fulfilled < 0.8 {
-		s.tries = 0
-	}
-	if s.fulfilled > 1-stormPart || failing < stormPart*n {
-		s.storm = 0
-	}
-	if s.storm < 2 || s.now < s.stormNext || keep < 0 {
-		return
-	}
-	rest := 0.0
-	for _, c := range classes {
-		rest = math.Max(rest, c.Patience)
-	}
-	rest = math.Min(rest, most) + s.channel.Late
-	s.resting = true
-	s.add(rest, func(Writer) { s.resting = false })
-	s.stormNext = s.now + rest + s.settle + s.gap
-	for _, h := range s.order {
-		v := &s.servers[h]
-		v.kept, v.weight, v.hold = h == keep, v.listed, s.now+rest+s.settle
-	}
-	w.Log(fmt.Sprintf("storm: %.0f of %.0f hosts failing, fulfilled %.2f: all but host %d rest %.0f ms",
-		failing, n, s.fulfilled, keep, rest))
-}
-
 // judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof
 // is absence, or silence while no try is fulfilled there, alone or with its zone. It must not take a busy
 // server for a silent one: many silent at once, or a fleet that fails, prove nothing. What is left must
 // carry the traffic of the proxies still joined.
 func (s *Steward) judge(w Writer) {
-	listed, in, silent, n := 0.0, 0.0, 0, 0
+	listed, in, silent := 0.0, 0.0, 0
+	all, fine, mute := make([]int, s.fleet.Zones), make([]int, s.fleet.Zones), make([]int, s.fleet.Zones)
+	n := 0
 	for _, h := range s.order {
-		if v := &s.servers[h]; v.phase == Ready {
-			listed, n = listed+v.listed, n+1
-			if v.strikes > 0 && !v.absent {
-				silent++
-			}
-			if !v.out {
-				in += v.listed
-			}
+		v := &s.servers[h]
+		if v.phase != Ready {
+			continue
+		}
+		listed, n, all[v.zone], fine[v.zone] = listed+v.listed, n+1, all[v.zone]+1, fine[v.zone]+min(v.fine, 1)
+		if v.strikes > 0 && !v.absent {
+			silent++
+		}
+		if v.strikes >= absences {
+			mute[v.zone]++
+		}
+		if !v.out {
+			in += v.listed
 		}
 	}
 	least := keepPart * listed * s.share()
@@ -594,19 +408,25 @@
 			if v.fine < 2 && (v.absent || !s.zoneBack[v.zone]) {
 				continue
 			}
-			v.out, v.strikes, v.hold, v.r = false, 0, s.now+s.settle, s.median
+			v.out, v.strikes, v.hold, v.r, v.back = false, 0, s.now+s.settle, s.median, s.now
 			if v.absent { // it may have restarted, and counts as cold
-				v.started, v.part = s.now, 1
+				v.started, v.back = s.now, longAgo
 			}
 			in += v.listed
-			s.add(trialStep, func(Writer) { s.step(h) })
 			w.Log(fmt.Sprintf("return host %d on trial", h))
 			continue
 		}
+		// A cut, which also fits a lost zone that says nothing: nearly all of the zone's servers leave probes
+		// unanswered at the same time, while nearly all of some other zone answer.
+		cut := false
+		for z := range all {
+			cut = cut || z != v.zone && all[z] > 0 && float64(fine[z]) >= cutPart*float64(all[z])
+		}
+		cut = cut && all[v.zone] > 1 && float64(mute[v.zone]) >= cutPart*float64(all[v.zone])
 		alone := v.strikes >= silences && silent*4 <= n+3 && s.fulfilled > 0.5
-		dry := v.dry && (alone || s.cut(v.zone))
+		dry := s.heardAt-v.fed >= s.cycle*0.9 && (alone || cut)
 		if (v.absent || dry) && in-v.listed >= least && in > v.listed {
-			v.out, v.part, v.fine = true, trialPart, 0
+			v.out, v.fine = true, 0
 			in -= v.listed
 			w.Log(fmt.Sprintf("withdraw host %d: %d probes failed, absent %v, %.2f of the weight left", h,
 				v.strikes, v.absent, in/listed))
@@ -615,43 +435,38 @@
 	clear(s.zoneBack)
 }
 
-// cut tells a zone out of reach from an overload: nearly all its servers leave probes unanswered at the
-// same time, while nearly all of some other zone answer. It also fits a lost zone that says nothing.
-func (s *Steward) cut(zone int) bool {
-	all, fine := make([]float64, s.fleet.Zones), make([]float64, s.fleet.Zones)
-	silent, other := 0.0, false
-	for _, h := range s.order {
-		if v := &s.servers[h]; v.phase == Ready {
-			all[v.zone]++
-			fine[v.zone] += float64(min(v.fine, 1))
-			if v.zone == zone && v.strikes >= absences {
-				silent++
-			}
-		}
-	}
-	for z := range all {
-		other = other || z != zone && all[z] > 0 && fine[z] >= cutPart*all[z]
-	}
-	return other && all[zone] > 1 && silent >= cutPart*all[zone]
+// part is what a server gets of its weight on trial, doubling each step.
+func (s *Steward) part(v *server) float64 {
+	return math.Min(1, trialPart*math.Exp2(math.Floor((s.now-v.back)/trialStep)))
 }
 
-// left tells whether a warm line is left in a zone or (below 0) anywhere: one that should be in the tables,
-// and where held is set is there already. Where none should be, withdrawals and rests are passed over,
-// since a host that may fail is better than none; where none is held, additions go as early as removals.
-func (s *Steward) left(zone int, held bool) bool {
+// left tells whether a warm line is left in a base table: one that should be there, and where held is set
+// is there already. Where none should be, withdrawals are passed over, since a host that may fail is better
+// than none; where none is held, additions go as early as removals.
+func (s *Steward) left(base int, held bool) bool {
 	for _, h := range s.order {
 		v := &s.servers[h]
-		here := (zone < 0 || v.zone == zone) && (!held || v.told > 0)
-		if here && s.warmth(v, s.guard) >= 1 && s.want(v, false) > 0 {
+		if s.base(v.zone) == base && (!held || v.told > 0) && s.warmth(v, s.guard) >= 1 && s.want(v, false) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// heat tells whether cold servers may be sent to at all. Proxies that shun hosts after failures of their own would
-// send all they have to a fresh one, and until sums show our own first orders nobody knows how the fleet fares under
-// them. Where no ready server is warm, the cold ones must together bear the traffic.
+// base is the table that a zone's proxies share: one for all, or the zone's where a class may not leave it.
+func (s *Steward) base(zone int) int {
+	if s.local {
+		return 1 + zone
+	}
+	return 0
+}
+
+// own is the number of a proxy's own table.
+func (s *Steward) own(p int) int { return 1 + s.fleet.Zones + p }
+
+// heat tells whether cold servers may be sent to at all. Proxies that shun hosts after failures of their
+// own would send all they have to a fresh one, and until sums show our own first orders nobody knows how
+// the fleet fares under them. Where no ready server is warm, the cold ones together must bear the traffic.
 func (s *Steward) heat(ejects, multiple float64) bool {
 	warm, able, all := false, 0.0, 0.0
 	for _, h := range s.order {
@@ -668,16 +483,14 @@
 	return s.heardAt >= s.knowing && (ejects == 0 || math.Pow(1-s.fulfilled, ejects) <= shunned)
 }
 
-// want is the weight that a server should have in the tables. A cold one gets no more than the least it can surely
-// do, less where the fleet fails tries: all proxies together then stay under its budget, a multiple of that.
+// want is the weight that a server should have in the tables. A cold one gets no more than the least it can
+// surely do, less where the fleet fails tries: all proxies together then stay under its budget.
 func (s *Steward) want(v *server, bare bool) float64 {
-	if v.phase != Ready || !bare && (v.out || s.resting && !v.kept) {
-		return 0
-	}
 	warm := s.warmth(v, s.guard)
-	if warm < 1 && !s.heats {
+	if v.phase != Ready || !bare && v.out || warm < 1 && !s.heats {
 		return 0
-	} else if warm < 1 {
+	}
+	if warm < 1 {
 		warm *= s.fulfilled * math.Min(1, s.guard.FallMultiple*budgetPart)
 	}
 	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails does not.
@@ -685,117 +498,293 @@
 	if trust > distrust*s.fulfilled {
 		trust = 1
 	}
-	return math.Max(v.weight, floorPart*v.listed) * v.part * warm * trust
+	return math.Max(v.weight, floorPart*v.listed) * s.part(v) * warm * trust
+}
+
+// strain tells connections that fail or are dear from a lack of capacity: many servers fail tries although
+// they answer probes and report idle cores. Then every proxy gets a table of its own with a few hosts, to
+// which it keeps its connections. With those the strain no longer shows, so the one table comes back by
+// trial, after a time that doubles when the strain soon returns. Also guards against links that lose tries
+// everywhere; harms where hosts fail tries for reasons of their own, by a coarser balance.
+func (s *Steward) strain(w Writer) {
+	n, failing, idle := 1.0, 0.0, 0.0
+	for _, h := range s.order {
+		if v := &s.servers[h]; v.won+v.lost >= 1 && v.phase == Ready {
+			n++
+			if v.lost > strainPart*(v.won+v.lost) && v.strikes < absences {
+				failing++
+				if b := v.load.busy(); b >= 0 && b < easeUnder {
+					idle++
+				}
+			}
+		}
+	}
+	s.strained++
+	if failing < n/2 || idle < strainIdle*n {
+		s.strained = 0
+	}
+	if s.dealt && s.now >= s.dealtUntil {
+		s.dealt = false
+		w.Log(fmt.Sprintf("one table for all again, fulfilled %.2f", s.fulfilled))
+	} else if !s.dealt && s.strained > 1 && !s.local {
+		if s.dealtFor *= 2; s.now > s.dealtUntil+s.dealtFor || s.dealtFor == 0 {
+			s.dealtFor = dealtFirst
+		}
+		s.dealt, s.dealtUntil = true, s.now+s.dealtFor
+		w.Log(fmt.Sprintf("tables dealt for %.0f s: %.0f of %.0f hosts fail, %.0f though idle, fulfilled %.2f",
+			s.dealtFor/1000, failing, n-1, idle, s.fulfilled))
+	}
+}
+
+// busy is the part of a server's cores that a report shows as busy, below 0 if it shows nothing.
+func (l Load) busy() float64 {
+	if l.Util < 0 && l.Queue >= 0 {
+		return math.Min(1, idleQueue+l.Queue)
+	}
+	return l.Util
+}
+
+// deal fills up the hand of a proxy: with servers that carry least for their weight so far, of its own zone
+// while they are under their fair share, until the hand has the weight that the proxy's traffic is due.
+func (s *Steward) deal(w Writer, i int, fair float64) int {
+	p, got, free := &s.proxies[i], 0.0, []int(nil)
+	near := func(v *server) bool { return v.zone == p.zone && v.carried < fair*v.told }
+	for _, h := range s.order {
+		if v := &s.servers[h]; slices.Contains(p.hand, h) {
+			got += v.told
+		} else if v.told > 0 && s.want(v, false) > 0 {
+			free = append(free, h)
+		}
+	}
+	sort.SliceStable(free, func(i, j int) bool {
+		a, b := &s.servers[free[i]], &s.servers[free[j]]
+		return near(a) && !near(b) || near(a) == near(b) && a.carried*b.told < b.carried*a.told
+	})
+	had := len(p.hand)
+	for _, h := range free {
+		if len(p.hand) >= handLeast && got*fair >= p.rate {
+			break
+		}
+		p.hand, got = append(p.hand, h), got+s.servers[h].told
+		w.Line(s.own(i), h, s.servers[h].told)
+	}
+	for _, h := range p.hand {
+		s.servers[h].carried += p.rate / float64(len(p.hand))
+	}
+	return len(p.hand) - had
 }
 
-// publish writes what changed: removals and cold starts at once, the rest once the last mark was mostly
-// answered. A model of the channel keeps ordinary changes under half of its caps, removals and bindings
-// under nearly all; what does not fit waits for a later round.
+// open tells whether the last weights are in force at most proxies that got them, or 2 s have passed.
+func (s *Steward) open() bool {
+	for _, b := range s.batches {
+		if b.number == s.mark && float64(b.answers) < ackPart*float64(b.asked) {
+			return s.now >= s.markAt+ackWait
+		}
+	}
+	return true
+}
+
+// publish writes what changed, as much as the channel takes: removals first, then what guards cold and
+// withdrawn servers, then joins, then weights, the largest changes first, once most proxies have the last
+// ones and the price of orders allows. Each may fill a part of the caps and leaves the rest to those before
+// it; what does not fit waits for a later round. What waits is all that was not answered, or less if it
+// must have left at the least pace.
 func (s *Steward) publish(w Writer, c Channel) {
-	s.queued = math.Max(0, s.queued-(s.now-s.queuedAt)/1000*c.LinesPerS*slowest)
-	s.queuedAt = s.now
-	bound, waiting := 0, false
+	type change struct {
+		h          int
+		want, size float64
+	}
+	passed := (s.now - s.queuedAt) / 1000 * c.LinesPerS
+	s.queued, s.queuedAt = math.Max(0, s.queued-passed*slowest), s.now
+	s.purse = math.Min(c.LinesPerS, s.purse+passed*ordersPart/math.Max(c.Price, ordersPart))
+	b := &batch{before: math.Min(s.queued, s.ordered-s.through), head: c.Head + 1 + float64(len(s.shares)),
+		met: make([]bool, len(s.proxies))}
+	b.queue = b.before
+	bound, unbound, traffic, weight := 0, 0, 0.0, 1e-9
+	shared, lines := make([]int, s.fleet.Zones+1), make([]int, s.fleet.Zones+1)
 	for i := range s.proxies {
-		if p := &s.proxies[i]; p.joined && p.bound {
-			bound++
-		} else {
-			waiting = waiting || p.joined
+		if p := &s.proxies[i]; p.joined {
+			traffic += p.rate
+			if !p.bound {
+				unbound++
+			} else if bound++; !p.own {
+				shared[s.base(p.zone)]++
+			}
 		}
 	}
-	if s.mark == 0 && !waiting {
+	if s.number == 0 && unbound == 0 {
 		return
 	}
+	for _, h := range s.order {
+		v := &s.servers[h]
+		v.holders, v.carried, weight = shared[s.base(v.zone)], 0, weight+v.told
+	}
+	for i := range s.proxies {
+		p := &s.proxies[i]
+		p.held = 0
+		for k := 0; p.joined && p.own && k < len(p.hand); k++ {
+			v := &s.servers[p.hand[k]]
+			v.holders, v.carried, p.held = v.holders+1, v.carried+p.rate/float64(len(p.hand)), p.held+v.told
+		}
+	}
 	for len(s.sent) > 0 && s.sent[0] < s.now-c.MessagesOver {
 		s.sent = s.sent[1:]
 	}
-	tables := 1 + min(s.local, 1)
-	most := c.Head + float64((len(s.order)+len(s.shares))*tables+1) // lines of the largest message
-	fits := func(messages, queue float64) bool {
-		return (c.MessagesMost == 0 || float64(len(s.sent)+2) <= messages*float64(c.MessagesMost)) &&
-			s.queued+float64(bound)*most <= queue*c.MostWaiting
+	fits := func(n int, part float64) bool {
+		return b.queue+float64(n)+float64(min(n, bound-b.asked))*b.head <= part*c.MostWaiting &&
+			(c.MessagesMost == 0 || b.asked > 0 || float64(len(s.sent)+2) <= part*float64(c.MessagesMost))
 	}
-	open := s.mark == 0 || float64(s.answered) >= ackPart*float64(s.marked) || s.now >= s.markAt+ackWait
-	open, soon, drains := open && fits(0.5, 0.75), fits(0.8, 0.9), fits(0.95, 0.95)
-	none, few := !s.left(-1, false), !s.left(-1, true)
 	if heats := s.heat(float64(s.fleet.Ejects), s.guard.FallMultiple); heats != s.heats {
 		s.heats = heats
 		w.Log(fmt.Sprintf("cold hosts held back: %v, fulfilled %.2f", !heats, s.fulfilled))
 	}
-	lines, wrote := 0, 0
-	for _, h := range s.order {
-		v := &s.servers[h]
-		bare, thin := none, few
-		if s.local != 0 {
-			bare, thin = bare || !s.left(v.zone, false), thin || !s.left(v.zone, true)
-		}
-		want := s.want(v, bare)
-		if want > 0 {
-			lines += tables
-		}
-		change := math.Abs(want - v.told)
-		urgent := change > 0 && (want == 0 || thin && v.told == 0 ||
-			s.warmth(v, s.guard) < 1 && want < v.told*0.9)
-		worth := change > worthTell*math.Max(v.told, floorPart*v.listed)
-		if urgent && (soon || drains && v.phase != Ready) || open && worth {
-			v.told = want
-			w.Line(0, h, want)
-			if s.local != 0 {
-				w.Line(1+v.zone, h, want)
+	bare, thin := make([]bool, len(shared)), make([]bool, len(shared))
+	for z := range s.fleet.Zones {
+		bare[s.base(z)], thin[s.base(z)] = !s.left(s.base(z), false), !s.left(s.base(z), true)
+	}
+	var later []change
+	soon := s.now >= s.urgentAt+gather
+	for _, gone := range []bool{true, false} {
+		for _, h := range s.order {
+			v := &s.servers[h]
+			if gone != (v.phase != Ready) {
+				continue
+			}
+			want, part, scant := s.want(v, bare[s.base(v.zone)]), guardsTo, thin[s.base(v.zone)]
+			if want > 0 {
+				lines[s.base(v.zone)]++
+			}
+			if gone {
+				part = drainsTo
+			}
+			size := math.Abs(want - v.told)
+			guards := want == 0 || scant && v.told == 0 || s.warmth(v, s.guard) < 1 && want < v.told*0.9
+			if size > 0 && (v.holders == 0 || guards && (soon || scant) && fits(v.holders, part)) {
+				if v.holders > 0 {
+					s.urgentAt = s.now
+				}
+				s.write(w, h, want, b)
+			} else if size > worthTell*math.Max(v.told, floorPart*v.listed) {
+				later = append(later, change{h, want, size})
 			}
-			wrote += tables
 		}
 	}
-	if open {
-		wrote += s.tellLevels(w)
+	if s.open() && fits(bound, guardsTo) {
+		s.tellLevels(w, b)
 	}
-	marking := wrote > 0
-	for i := range s.proxies {
-		p := &s.proxies[i]
-		cost := float64(tables)*(c.Head+1) + float64(lines+len(s.shares))
-		if !p.joined || p.bound || s.queued+cost > 0.95*c.MostWaiting {
-			continue
-		}
-		s.queued += cost
-		p.bound, marking = true, true
-		if s.local != 0 {
-			w.Bind(i, 1+p.zone, s.local)
+	urgent := b.asked
+	s.join(w, c, b, unbound, lines, traffic/weight)
+	b.number = s.number%60000 + 1
+	if start := b.queue; s.open() {
+		sort.SliceStable(later, func(i, j int) bool { return later[i].size > later[j].size })
+		for _, l := range later {
+			if was := b.queue; s.purse > 0 && fits(s.servers[l.h].holders, weightsTo) {
+				s.write(w, l.h, l.want, b)
+				s.purse -= b.queue - was
+			}
 		}
-		if rest := (1<<len(s.classes) - 1) &^ s.local; rest != 0 {
-			w.Bind(i, 0, rest)
+		if b.queue > start {
+			s.mark, s.markAt, urgent = b.number, s.now, b.asked
 		}
 	}
-	if marking {
-		s.mark = s.mark%60000 + 1
-		s.marked, s.answered, s.markAt = bound, 0, s.now
-		w.Mark(s.mark)
+	if added := b.queue - b.before; added > 0 {
+		s.number = b.number
+		w.Mark(b.number)
+		b.before, b.queue = s.ordered, added
+		s.batches = append(s.batches, *b)
+		s.queued, s.ordered = s.queued+added, s.ordered+added
 	}
-	if wrote > 0 {
+	if urgent > 0 {
 		s.sent = append(s.sent, s.now)
-		s.queued += float64(bound) * (c.Head + float64(wrote) + 1)
 	}
 }
 
-// tellLevels writes what changed of levels and ways of trying again. A further try follows only proof that
-// the first never ran, so it is safe for every class.
-func (s *Steward) tellLevels(w Writer) int {
-	n := 0
-	for c, share := range s.shares {
-		if math.Abs(share-s.toldShares[c]) <= 0.02 && s.tries == s.toldTries {
+// write sets the line of a server in every table that holds it.
+func (s *Steward) write(w Writer, h int, want float64, b *batch) {
+	v := &s.servers[h]
+	v.told = want
+	w.Line(s.base(v.zone), h, want)
+	for i := 0; v.holders > 0 && i < len(s.proxies); i++ {
+		p := &s.proxies[i]
+		if at := slices.Index(p.hand, h); p.joined && p.bound && p.own && at >= 0 {
+			b.reach(i, 1)
+			w.Line(s.own(i), h, want)
+			if want == 0 {
+				p.hand = slices.Delete(p.hand, at, at+1)
+			}
+		} else if p.joined && p.bound && !p.own && s.base(p.zone) == s.base(v.zone) {
+			b.reach(i, 1)
+		}
+	}
+}
+
+// join binds proxies to the shared table: those without a table of ours first, then by their traffic. One
+// that cannot have the whole table in time first gets a few hosts, since it must not go on by an old one;
+// so does every proxy under strain. A hand that lost servers is filled up.
+func (s *Steward) join(w Writer, c Channel, b *batch, unbound int, lines []int, fair float64) {
+	whole := func(p *proxy) float64 { return float64(lines[s.base(p.zone)]) + 2 }
+	short := func(p *proxy) bool { return p.own && (len(p.hand) < handLeast || p.held*fair < shortHand*p.rate) }
+	var due []int
+	for i := range s.proxies {
+		if p := &s.proxies[i]; p.joined && (!p.bound || p.own != s.dealt || short(p)) {
+			due = append(due, i)
+		}
+	}
+	sort.SliceStable(due, func(i, j int) bool {
+		a, b := &s.proxies[due[i]], &s.proxies[due[j]]
+		return !a.bound && b.bound || a.bound == b.bound && a.rate > b.rate
+	})
+	for _, i := range due {
+		p := &s.proxies[i]
+		cost := whole(p) + b.head
+		late := !s.local && (float64(unbound)*cost+b.before)/(c.LinesPerS*slowest)*1000 > s.guard.Grace*inTime
+		few := s.dealt || late && !p.bound || p.own && len(p.hand) < handLeast/2
+		room := b.queue+cost <= joinsTo*c.MostWaiting || b.queue == 0
+		if !few && room && (!p.bound || s.purse > c.LinesPerS/2) {
+			if b.reach(i, cost-b.head); p.bound {
+				s.purse -= cost
+			}
+			w.Bind(i, s.base(p.zone), 0)
+			p.bound, p.own = true, false
+		} else if few && !s.local && b.queue+b.head+float64(handLeast) <= guardsTo*c.MostWaiting {
+			for _, h := range p.hand {
+				if !p.own {
+					w.Line(s.own(i), h, 0)
+				}
+			}
+			if !p.own {
+				p.hand = nil
+			}
+			if n := s.deal(w, i, fair); n > 0 {
+				b.reach(i, float64(n))
+				if !p.own {
+					b.queue++
+					w.Bind(i, s.own(i), 0)
+				}
+				p.bound, p.own = true, true
+			}
+		}
+	}
+}
+
+// tellLevels writes what changed of levels and ways of trying again, for all joined proxies. A further try
+// follows only proof that the first never ran, so it is safe for every class.
+func (s *Steward) tellLevels(w Writer, b *batch) {
+	changed := s.tries != s.toldTries
+	s.toldTries = s.tries
+	for k, share := range s.shares {
+		if math.Abs(share-s.toldShares[k]) <= 0.02 && !changed {
 			continue
 		}
-		s.toldShares[c] = share
+		s.toldShares[k] = share
 		if !s.fleet.Admits {
 			share = unlimited
 		}
-		first, last := 0, 0
-		if s.classes[c].Local {
-			first, last = 1, s.fleet.Zones
-		}
-		for table := first; table <= last; table++ {
-			w.Level(table, 1<<c, share, s.tries)
-			n++
+		w.Level(AllTables, 1<<k, share, s.tries)
+		for i := range s.proxies {
+			if s.proxies[i].joined {
+				b.reach(i, 1)
+			}
 		}
 	}
-	s.toldTries = s.tries
-	return n
 }
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,224 @@
+// What a Steward keeps, and the noting methods, which only record. Every decision is in decide.go.
+package decide
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"sort"
+)
+
+// longAgo is before any time.
+const longAgo = -1e18
+
+// sums of what proxies met at a server.
+type sums struct{ good, bad, time, span float64 }
+
+// server is what the steward knows of one host.
+type server struct {
+	zone            int
+	phase           Phase
+	seen            bool    // on a list
+	listed, started float64 // listed weight; last known start, or -1 where that is long ago
+	weight          float64 // where the moves have put it, as a listed weight
+	told            float64 // what the tables hold
+	fresh, past     sums    // since the last report round; faded sums of the rounds before
+	load            Load    // as last reported
+	rate, r         float64 // λ and R
+	hold            float64 // no move before this time
+	holders         int     // proxies that hold it in a table of their own
+	carried         float64 // and the traffic they send there
+	fed             float64 // when sums last showed a try fulfilled
+	strikes, fine   int     // probes in a row unanswered, answered
+	absent          bool    // the last unanswered probe found nothing there
+	probing         bool    // a probe is out
+	out             bool    // withdrawn
+	back            float64 // when it returned on trial
+	won, lost       float64 // faded fast: tries fulfilled and failed, also while a move has yet to show
+}
+
+type proxy struct {
+	zone               int
+	rate               float64 // transactions a second that it usually gets
+	joined, bound, own bool    // bound to the shared table, or to one of its own
+	hand               []int   // the hosts in its own table
+	held, came, span   float64 // their weight; transactions that came lately, in this time
+}
+
+// due is work for a later time.
+type due struct {
+	at float64
+	do func(Writer)
+}
+
+// batch is what one round orders: lines that wait before and after it, the proxies it reaches, a head for
+// each, and answers to its mark.
+type batch struct {
+	number, asked, answers int
+	before, queue, head    float64
+	met                    []bool
+}
+
+// Steward decides for one instance.
+type Steward struct {
+	fleet   Fleet
+	classes []Class
+	channel Channel
+	guard   Guard
+	goal    Goal
+
+	now, wakeAt float64
+	knowing     float64 // sums from then on show our own first orders
+	heats       bool    // cold servers may be sent to
+	counter     uint64
+	servers     []server
+	order       []int // hosts in the order they were first listed
+	planned     int   // so many of them are probed
+	proxies     []proxy
+	joined      int
+	zoneBack    []bool // a proxy of the zone has joined since the last round
+	local       bool   // a class stays in its zone
+	dues        []due  // by time
+
+	listKnown, askFailed bool
+	askWait              float64
+
+	heard              bool
+	heardAt, gap       float64   // time of the last report round; how much later than usual they have come
+	late, cycle        float64   // way of a message; time in which the sums come round all servers
+	settle             float64   // until a move shows in the sums
+	median, fulfilled  float64   // median R; part of the tries fulfilled
+	came               []float64 // faded: transactions that came, by class
+	level, levelHold   float64
+	lowFulfilled       float64
+	shares, toldShares []float64
+	tries, toldTries   int
+
+	dealt                bool // proxies get tables of their own, a few hosts each
+	dealtUntil, dealtFor float64
+	strained             int // report rounds in a row
+
+	number, mark             int // of the last batch; of the last that told weights
+	markAt, queuedAt         float64
+	urgentAt                 float64
+	queued, ordered, through float64 // lines waiting at the least pace; ordered; known to have left
+	purse                    float64 // lines that weights may cost
+	batches                  []batch
+	sent                     []float64 // times of messages to all
+}
+
+// grown gives the list with at least n entries, new ones as fresh.
+func grown[T any](list []T, n int, fresh T) []T {
+	for len(list) < n {
+		list = append(list, fresh)
+	}
+	return list
+}
+
+func (s *Steward) server(h int) *server {
+	s.servers = grown(s.servers, h+1, server{started: -1, back: longAgo, load: NoLoad})
+	return &s.servers[h]
+}
+
+// WholeList notes that the entries which follow are the whole list.
+func (s *Steward) WholeList(cached bool) {
+	for i := range s.servers {
+		s.servers[i].phase = Gone
+	}
+	if !cached {
+		s.listKnown, s.askWait = true, 0
+	}
+}
+
+// ListChange notes that the entries which follow are changes.
+func (s *Steward) ListChange() { s.askWait = 0 }
+
+// ListFailed notes that a call for the list failed or that the list no longer sends its changes.
+func (s *Steward) ListFailed() { s.askFailed = true }
+
+func (s *Steward) Joined(p, zone int, rate float64) {
+	s.Left(p)
+	s.proxies = grown(s.proxies, p+1, proxy{})
+	s.proxies[p] = proxy{zone: zone, rate: rate + 0.01, joined: true, hand: s.proxies[p].hand}
+	s.joined++
+	s.zoneBack[zone] = true
+}
+
+func (s *Steward) Left(p int) {
+	if p < len(s.proxies) && s.proxies[p].joined {
+		s.proxies[p].joined = false
+		s.joined--
+	}
+}
+
+func (s *Steward) Heard(host, tries, failed int, mean, span float64, load Load) {
+	v := s.server(host)
+	good := float64(max(tries-failed, 0))
+	f := &v.fresh
+	f.good, f.bad, f.time = f.good+good, f.bad+float64(failed), f.time+mean*good
+	f.span = math.Max(f.span, span)
+	v.note(load)
+	s.heard = true
+}
+
+func (v *server) note(load Load) {
+	if load != NoLoad {
+		v.load = load
+	}
+}
+
+func (s *Steward) Usage(p, class, came int, span float64) {
+	s.came[class] += float64(came)
+	if p < len(s.proxies) {
+		q := &s.proxies[p]
+		q.came, q.span = q.came+float64(came), math.Max(q.span, span)
+	}
+}
+
+func (s *Steward) Probed(host int, how Outcome, load Load) {
+	v := s.server(host)
+	v.probing = false
+	switch how {
+	case Fine:
+		v.strikes, v.fine = 0, v.fine+1
+		v.note(load)
+	case Silent, Unreachable:
+		v.strikes, v.fine, v.absent = v.strikes+1, 0, how == Unreachable
+	}
+}
+
+// Answered notes an answer to a mark. The channel keeps its order: what was ordered before has left it.
+func (s *Steward) Answered(number int) {
+	for i := range s.batches {
+		if b := &s.batches[i]; b.number == number {
+			b.answers++
+			part := math.Min(1, float64(b.answers)/float64(b.asked))
+			s.through = math.Max(s.through, b.before+b.queue*part)
+			s.batches = s.batches[i:]
+			return
+		}
+	}
+}
+
+// reach counts lines to a proxy.
+func (b *batch) reach(p int, lines float64) {
+	if !b.met[p] {
+		b.met[p], b.asked, lines = true, b.asked+1, lines+b.head
+	}
+	b.queue += lines
+}
+
+// chance gives the next figure from 0 to 1.
+func (s *Steward) chance() float64 {
+	s.counter++
+	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, s.fleet.Seed), s.counter)
+	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+}
+
+func (s *Steward) add(in float64, do func(Writer)) {
+	at := s.now + in
+	i := sort.Search(len(s.dues), func(i int) bool { return s.dues[i].at > at })
+	s.dues = append(s.dues, due{})
+	copy(s.dues[i+1:], s.dues[i:])
+	s.dues[i] = due{at, do}
+}
--- a/decide/steward.go
+++ b/decide/steward.go
@@ -33,13 +33,14 @@
 type Channel struct {
 	LinesPerS, Head, MostWaiting float64 // pace; lines that a message costs besides its own; lines that may wait
 	Late                         float64 // mean way of a message
+	Price                        float64 // of the usual pace, used all day
 	MessagesMost                 int     // messages to a proxy within MessagesOver; 0: no limit
 	MessagesOver                 float64
 }
 
 // Guard holds the figures of the rules that the decisions need.
 type Guard struct {
-	Bare           float64 // a proxy may have no line for so long
+	Grace          float64 // after it a host known to drain or be gone is sent nothing
 	ColdFrom, Cold float64 // the part of its capacity a host starts with; the time until it is warm
 	FallMultiple   float64 // sent so many times its capacity, a cold host falls over
 }
@@ -62,11 +63,14 @@
 
 // Load is what a host reports of itself; a value below 0 was not reported.
 type Load struct {
-	Util, Rate float64
+	Util, Rate, Queue float64
 }
 
 // NoLoad reports nothing.
-var NoLoad = Load{-1, -1}
+var NoLoad = Load{-1, -1, -1}
+
+// AllTables in place of a table's number sets a level for all joined proxies.
+const AllTables = 65535
 
 // Writer takes the decisions of a round. Hosts and proxies go by the small indices they were noted with;
 // bit k of classes is class k, and 0 stands for all of them.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -20,7 +20,7 @@
 		Admission                                                string
 		BareUs, ChannelRate, MostWaiting, IntervalUs, PerMessage *float64
 		DataPlaneSize                                            *int
-		LateUs, UpdateWindowUs                                   float64
+		LateUs, UpdateWindowUs, OrderPrice                       float64
 		Ejects, MessagesMost, RetryDefault, Shards               int
 		StaysLocal                                               []bool
 	}
