--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,6 +24,7 @@
 	memory       = 0.8     // what earlier sums count for after a report round
 	shortly      = 0.5     // the same for the share of tries fulfilled
 	distrust     = 0.8     // of the fleet's share of tries fulfilled; a server under it loses weight
+	trustLeast   = 0.5     // and never more than so: lost tries wear off later than their cause
 	average      = 4.0     // answers of median time that each server is taken to have given besides
 	ackPart      = 0.8     // of the proxies answered a mark: the next changes may go
 	ackWait      = 2000.0  // or so long after it
@@ -494,7 +495,7 @@
 		warm *= s.fulfilled * math.Min(1, s.guard.FallMultiple*budgetPart)
 	}
 	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails does not.
-	trust := (v.won + 2) / (v.won + v.lost + 2)
+	trust := math.Max(trustLeast, (v.won+2)/(v.won+v.lost+2))
 	if trust > distrust*s.fulfilled {
 		trust = 1
 	}
@@ -552,7 +553,7 @@
 	for _, h := range s.order {
 		if v := &s.servers[h]; slices.Contains(p.hand, h) {
 			got += v.told
-		} else if v.told > 0 && s.want(v, false) > 0 {
+		} else if v.told > 0 && s.want(v, false) > 0 && s.warmth(v, s.guard) >= 1 {
 			free = append(free, h)
 		}
 	}
@@ -708,8 +709,10 @@
 		p := &s.proxies[i]
 		if at := slices.Index(p.hand, h); p.joined && p.bound && p.own && at >= 0 {
 			b.reach(i, 1)
-			w.Line(s.own(i), h, want)
-			if want == 0 {
+			if s.warmth(v, s.guard) < 1 { // a cold one might be all that is left of a hand
+				want = 0
+			}
+			if w.Line(s.own(i), h, want); want == 0 {
 				p.hand = slices.Delete(p.hand, at, at+1)
 			}
 		} else if p.joined && p.bound && !p.own && s.base(p.zone) == s.base(v.zone) {
@@ -747,13 +750,9 @@
 			w.Bind(i, s.base(p.zone), 0)
 			p.bound, p.own = true, false
 		} else if few && !s.local && b.queue+b.head+float64(handLeast) <= guardsTo*c.MostWaiting {
-			for _, h := range p.hand {
-				if !p.own {
-					w.Line(s.own(i), h, 0)
-				}
-			}
-			if !p.own {
-				p.hand = nil
+			for !p.own && len(p.hand) > 0 {
+				w.Line(s.own(i), p.hand[0], 0)
+				p.hand = p.hand[1:]
 			}
 			if n := s.deal(w, i, fair); n > 0 {
 				b.reach(i, float64(n))
