Rest in a storm by tables of one host; withdraw silent hosts a report earlier

Bound to a table with one line, each proxy costs a few lines at any size; afterwards all are joiners again (a few hosts where whole tables come too late). Silence waited for nine tenths of a sums' cycle, longer than a report round: now seven.

--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -127,7 +127,7 @@
 		classes,
 		decide.Channel{LinesPerS: *f.ChannelRate, Head: *f.PerMessage, MostWaiting: *f.MostWaiting, Late: f.LateUs / 1000,
 			MessagesMost: f.MessagesMost, MessagesOver: f.UpdateWindowUs / 1000, Price: f.OrderPrice},
-		decide.Guard{Grace: *r.StopSendingWithinUs / 1000, ColdFrom: *r.ColdFrom, Cold: *r.ColdUs / 1000,
+		decide.Guard{Bare: *f.BareUs / 1000, Grace: *r.StopSendingWithinUs / 1000, ColdFrom: *r.ColdFrom, Cold: *r.ColdUs / 1000,
 			FallMultiple: *r.FallMultiple},
 		decide.Goal{Whole: s.ScoreParts.Whole + s.ScoreParts.WorstWindow, WorstClass: s.ScoreParts.WorstClass,
 			ProbePrice: s.Prices.Probe})
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,10 +1,7 @@
-// All decisions of barleysail are in this file; the interface (settings, Writer) is in steward.go beside
-// it.
-//
-// The caller makes one Steward an instance with New, notes what came in (WholeList or ListChange and Entry,
-// Joined, Left, Heard, Usage, Answered, Probed), and then calls Round once a batch, also when the timer
-// asked for by Wake is due. Noting only records; Round decides and writes orders to the Writer. Hosts and
-// proxies are small indices.
+// All decisions of barleysail are in this file; the interface (settings, Writer) is in steward.go, what is
+// kept and noted in state.go. The caller makes one Steward an instance with New, notes what came in, and
+// then calls Round once a batch, also when the timer asked for by Wake is due. Noting only records; Round
+// decides and writes orders to the Writer. Hosts and proxies are small indices.
 package decide
 
 import (
@@ -52,6 +49,7 @@
 	trialPart    = 0.4     // of its weight a server returns with, doubling each trialStep
 	trialStep    = 1000.0
 	keepPart     = 0.34 // of the listed weight stays in the tables whatever the probes say
+	stormPart    = 0.6  // of the servers, and of their tries, fail in a storm of repeats
 	triesAbove   = 0.8  // of all tries are fulfilled where further tries help and no level is heeded
 	coldOnlyPart = 2.0  // times the fleet's listed weight: what cold servers alone must be able to bear of it
 	budgetPart   = 0.25 // of a cold server's budget is used: it may be half as fast as listed
@@ -185,8 +183,8 @@
 	s.strain(w)
 	if s.fleet.Admits {
 		s.admit(w, s.classes, s.goal)
-	} else if s.tries = 1; s.fulfilled < triesAbove {
-		s.tries = 0
+	} else {
+		s.relieve(w, s.classes, s.guard.Bare/2)
 	}
 }
 
@@ -196,14 +194,9 @@
 // answers from faking overload.
 func (s *Steward) estimate(share, period, passed float64) {
 	var heard []float64
-	good, all, spans, n := 1.0, 1.0, 0.0, 1e-9
-	for _, h := range s.order {
-		if f := s.servers[h].fresh; f.span > 0 {
-			spans, n = spans+f.span, n+1
-		}
-	}
-	s.cycle = math.Max(period, shortly*s.cycle+(1-shortly)*spans/n)
-	s.settle = s.late + 2*s.cycle
+	good, all := 1.0, 1.0
+	s.cycle = math.Max(period, shortly*s.cycle+(1-shortly)*s.spans/s.lines)
+	s.settle, s.spans, s.lines = s.late+2*s.cycle, 0, 0
 	keep, soon := math.Pow(memory, passed/s.cycle), math.Pow(shortly, passed/s.cycle)
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -261,11 +254,7 @@
 // sides of a move then wait until it shows. A move too small to tell is left, since it would only hold up
 // the next.
 func (s *Steward) shift() {
-	type load struct {
-		v           *server
-		excess, can float64
-	}
-	var over, all []load
+	var over, all []loaded
 	total, weights := 0.0, 0.0
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -276,7 +265,7 @@
 		if s.now < v.hold || v.past.good+v.past.bad < 1 || v.r <= 0 || s.median <= 0 {
 			continue
 		}
-		l := load{v, v.rate - capOf(v.rate, v.r, s.median), v.rate * (1 - floorPart*v.listed/v.weight)}
+		l := loaded{v, v.rate - capOf(v.rate, v.r, s.median), v.rate * (1 - floorPart*v.listed/v.weight)}
 		if b := v.load.busy(); b > 0 { // several cores: R stays short until nearly all are busy
 			l.excess = math.Max(l.excess, math.Min(0, v.rate*(1-shedTo/b)))
 		}
@@ -348,9 +337,8 @@
 	s.spread(classes, goal)
 }
 
-// spread deals the level out to the classes: the least earnings per work go first, unless the worst-served
-// class weighs so much that cutting all evenly costs less. The due time stands for the work of a class,
-// which is not told.
+// spread deals the level out to the classes: the least earnings per work (the due time stands for it) go
+// first, unless the worst-served class weighs so much that cutting all evenly costs less.
 func (s *Steward) spread(classes []Class, goal Goal) {
 	n := len(classes)
 	work, earn, order := make([]float64, n), make([]float64, n), make([]int, n)
@@ -373,14 +361,53 @@
 	}
 }
 
+// relieve ends a storm of repeats where proxies heed no level: most servers fail most tries, and the work
+// that clients gave up on keeps it so after the cause is gone. All proxies go to one server until the
+// patience of every class is over, then return together to emptier queues. It must not act on a cut or a
+// hang, where some servers fulfil; where capacity is lacking it trades a steady failure for good spells.
+func (s *Steward) relieve(w Writer, classes []Class, most float64) {
+	n, failing := 0.0, 0.0
+	s.keep = -1
+	for _, h := range s.order {
+		v := &s.servers[h]
+		if v.won+v.lost >= 1 {
+			n++
+			if v.lost > stormPart*(v.won+v.lost) {
+				failing++
+			}
+		}
+		if s.serving(v) && (s.keep < 0 || v.listed > s.servers[s.keep].listed) {
+			s.keep = h
+		}
+	}
+	s.tries, s.storm = 1, s.storm+1
+	if s.fulfilled < triesAbove {
+		s.tries = 0
+	}
+	if s.fulfilled > 1-stormPart || failing < stormPart*n {
+		s.storm = 0
+	}
+	if s.storm < 2 || s.now < s.stormNext || s.keep < 0 || s.local {
+		return
+	}
+	rest := s.channel.Late
+	for _, c := range classes {
+		rest = math.Max(rest, math.Min(c.Patience, most)+s.channel.Late)
+	}
+	s.stormNext = s.now + rest + 2*s.settle
+	s.rest(true)
+	s.add(rest, func(Writer) { s.rest(false) })
+	w.Log(fmt.Sprintf("storm: %.0f of %.0f hosts failing, fulfilled %.2f: all but host %d rest %.0f ms",
+		failing, n, s.fulfilled, s.keep, rest))
+}
+
 // judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof
 // is absence, or silence while no try is fulfilled there, alone or with its zone. It must not take a busy
 // server for a silent one: many silent at once, or a fleet that fails, prove nothing. What is left must
 // carry the traffic of the proxies still joined.
 func (s *Steward) judge(w Writer) {
-	listed, in, silent := 0.0, 0.0, 0
+	listed, in, silent, n := 0.0, 0.0, 0, 0
 	all, fine, mute := make([]int, s.fleet.Zones), make([]int, s.fleet.Zones), make([]int, s.fleet.Zones)
-	n := 0
 	for _, h := range s.order {
 		v := &s.servers[h]
 		if v.phase != Ready {
@@ -425,7 +452,7 @@
 		}
 		cut = cut && all[v.zone] > 1 && float64(mute[v.zone]) >= cutPart*float64(all[v.zone])
 		alone := v.strikes >= silences && silent*4 <= n+3 && s.fulfilled > 0.5
-		dry := s.heardAt-v.fed >= s.cycle*0.9 && (alone || cut)
+		dry := s.heardAt-v.fed >= s.cycle*0.7 && (alone || cut)
 		if (v.absent || dry) && in-v.listed >= least && in > v.listed {
 			v.out, v.fine = true, 0
 			in -= v.listed
@@ -454,17 +481,6 @@
 	return false
 }
 
-// base is the table that a zone's proxies share: one for all, or the zone's where a class may not leave it.
-func (s *Steward) base(zone int) int {
-	if s.local {
-		return 1 + zone
-	}
-	return 0
-}
-
-// own is the number of a proxy's own table.
-func (s *Steward) own(p int) int { return 1 + s.fleet.Zones + p }
-
 // heat tells whether cold servers may be sent to at all. Proxies that shun hosts after failures of their
 // own would send all they have to a fresh one, and until sums show our own first orders nobody knows how
 // the fleet fares under them. Where no ready server is warm, the cold ones together must bear the traffic.
@@ -562,6 +578,9 @@
 		return near(a) && !near(b) || near(a) == near(b) && a.carried*b.told < b.carried*a.told
 	})
 	had := len(p.hand)
+	if s.resting {
+		free, got = []int{s.keep}, 1e9
+	}
 	for _, h := range free {
 		if len(p.hand) >= handLeast && got*fair >= p.rate {
 			break
@@ -591,43 +610,17 @@
 // it; what does not fit waits for a later round. What waits is all that was not answered, or less if it
 // must have left at the least pace.
 func (s *Steward) publish(w Writer, c Channel) {
-	type change struct {
-		h          int
-		want, size float64
-	}
 	passed := (s.now - s.queuedAt) / 1000 * c.LinesPerS
 	s.queued, s.queuedAt = math.Max(0, s.queued-passed*slowest), s.now
 	s.purse = math.Min(c.LinesPerS, s.purse+passed*ordersPart/math.Max(c.Price, ordersPart))
 	b := &batch{before: math.Min(s.queued, s.ordered-s.through), head: c.Head + 1 + float64(len(s.shares)),
 		met: make([]bool, len(s.proxies))}
 	b.queue = b.before
-	bound, unbound, traffic, weight := 0, 0, 0.0, 1e-9
-	shared, lines := make([]int, s.fleet.Zones+1), make([]int, s.fleet.Zones+1)
-	for i := range s.proxies {
-		if p := &s.proxies[i]; p.joined {
-			traffic += p.rate
-			if !p.bound {
-				unbound++
-			} else if bound++; !p.own {
-				shared[s.base(p.zone)]++
-			}
-		}
-	}
+	lines := make([]int, s.fleet.Zones+1)
+	bound, unbound, fair := s.tally()
 	if s.number == 0 && unbound == 0 {
 		return
 	}
-	for _, h := range s.order {
-		v := &s.servers[h]
-		v.holders, v.carried, weight = shared[s.base(v.zone)], 0, weight+v.told
-	}
-	for i := range s.proxies {
-		p := &s.proxies[i]
-		p.held = 0
-		for k := 0; p.joined && p.own && k < len(p.hand); k++ {
-			v := &s.servers[p.hand[k]]
-			v.holders, v.carried, p.held = v.holders+1, v.carried+p.rate/float64(len(p.hand)), p.held+v.told
-		}
-	}
 	for len(s.sent) > 0 && s.sent[0] < s.now-c.MessagesOver {
 		s.sent = s.sent[1:]
 	}
@@ -639,7 +632,7 @@
 		s.heats = heats
 		w.Log(fmt.Sprintf("cold hosts held back: %v, fulfilled %.2f", !heats, s.fulfilled))
 	}
-	bare, thin := make([]bool, len(shared)), make([]bool, len(shared))
+	bare, thin := make([]bool, len(lines)), make([]bool, len(lines))
 	for z := range s.fleet.Zones {
 		bare[s.base(z)], thin[s.base(z)] = !s.left(s.base(z), false), !s.left(s.base(z), true)
 	}
@@ -674,7 +667,7 @@
 		s.tellLevels(w, b)
 	}
 	urgent := b.asked
-	s.join(w, c, b, unbound, lines, traffic/weight)
+	s.join(w, c, b, unbound, lines, fair)
 	b.number = s.number%60000 + 1
 	if start := b.queue; s.open() {
 		sort.SliceStable(later, func(i, j int) bool { return later[i].size > later[j].size })
@@ -689,10 +682,9 @@
 		}
 	}
 	if added := b.queue - b.before; added > 0 {
-		s.number = b.number
 		w.Mark(b.number)
 		b.before, b.queue = s.ordered, added
-		s.batches = append(s.batches, *b)
+		s.batches, s.number = append(s.batches, *b), b.number
 		s.queued, s.ordered = s.queued+added, s.ordered+added
 	}
 	if urgent > 0 {
@@ -726,10 +718,12 @@
 // so does every proxy under strain. A hand that lost servers is filled up.
 func (s *Steward) join(w Writer, c Channel, b *batch, unbound int, lines []int, fair float64) {
 	whole := func(p *proxy) float64 { return float64(lines[s.base(p.zone)]) + 2 }
-	short := func(p *proxy) bool { return p.own && (len(p.hand) < handLeast || p.held*fair < shortHand*p.rate) }
+	short := func(p *proxy) bool {
+		return p.own && !s.resting && (len(p.hand) < handLeast || p.held*fair < shortHand*p.rate)
+	}
 	var due []int
 	for i := range s.proxies {
-		if p := &s.proxies[i]; p.joined && (!p.bound || p.own != s.dealt || short(p)) {
+		if p := &s.proxies[i]; p.joined && (!p.bound || p.own != s.dealt && !s.resting || short(p)) {
 			due = append(due, i)
 		}
 	}
@@ -741,7 +735,7 @@
 		p := &s.proxies[i]
 		cost := whole(p) + b.head
 		late := !s.local && (float64(unbound)*cost+b.before)/(c.LinesPerS*slowest)*1000 > s.guard.Grace*inTime
-		few := s.dealt || late && !p.bound || p.own && len(p.hand) < handLeast/2
+		few := s.dealt || s.resting || late && !p.bound || p.own && len(p.hand) < handLeast/2
 		room := b.queue+cost <= joinsTo*c.MostWaiting || b.queue == 0
 		if !few && room && (!p.bound || s.purse > c.LinesPerS/2) {
 			if b.reach(i, cost-b.head); p.bound {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -279,6 +279,20 @@
 	b.check(t)
 }
 
+// Every host fails nearly every try and no level is heeded: all proxies go to one host, and come back to
+// the whole table together. The one that stays in is never withdrawn meanwhile, so no proxy is left bare.
+func TestStorm(t *testing.T) {
+	set := plain()
+	set.Admits = false
+	b := start(set, 4)
+	b.run(3000, alike(4, [3]float64{10, 0, 200}))
+	b.say("the storm begins")
+	b.probes(7000, alike(4, [3]float64{30, 28, 900}), func(int) Outcome { return Silent })
+	b.say("the storm is over")
+	b.probes(6000, alike(4, [3]float64{10, 0, 200}), func(int) Outcome { return Fine })
+	b.check(t)
+}
+
 // Hosts found absent one after the other are withdrawn, but never the last warm one.
 func TestNeverBare(t *testing.T) {
 	b := start(plain(), 3)
--- a/decide/helper_test.go
+++ b/decide/helper_test.go
@@ -63,7 +63,7 @@
 		Fleet{Instances: 1, Zones: 2, Proxies: 2, Seed: 7, Period: 1000, UsualTries: 1, Admits: true, MayProbe: true},
 		[]Class{{Due: 1000, Patience: 3000, Earnings: 1}, {Due: 500, Patience: 1500, Earnings: 5}},
 		Channel{LinesPerS: 10000, Head: 5, MostWaiting: 10000, Late: 200, MessagesOver: 10000},
-		Guard{Grace: 3000, ColdFrom: 0.2, Cold: 10000, FallMultiple: 4}, Goal{Whole: 0.9, WorstClass: 0.1, ProbePrice: 0.02}}
+		Guard{Bare: 5000, Grace: 3000, ColdFrom: 0.2, Cold: 10000, FallMultiple: 4}, Goal{Whole: 0.9, WorstClass: 0.1, ProbePrice: 0.02}}
 }
 
 // start lists n ready hosts of weight 1, the even ones in zone 0, and joins the proxies.
--- a/decide/state.go
+++ b/decide/state.go
@@ -85,6 +85,7 @@
 
 	heard              bool
 	heardAt, gap       float64   // time of the last report round; how much later than usual they have come
+	spans, lines       float64   // sum of the times that the last sums cover, and their number
 	late, cycle        float64   // way of a message; time in which the sums come round all servers
 	settle             float64   // until a move shows in the sums
 	median, fulfilled  float64   // median R; part of the tries fulfilled
@@ -96,7 +97,10 @@
 
 	dealt                bool // proxies get tables of their own, a few hosts each
 	dealtUntil, dealtFor float64
-	strained             int // report rounds in a row
+	strained, storm      int  // report rounds in a row
+	resting              bool // all proxies go to one server, keep
+	keep                 int
+	stormNext            float64
 
 	number, mark             int // of the last batch; of the last that told weights
 	markAt, queuedAt         float64
@@ -156,7 +160,7 @@
 	good := float64(max(tries-failed, 0))
 	f := &v.fresh
 	f.good, f.bad, f.time = f.good+good, f.bad+float64(failed), f.time+mean*good
-	f.span = math.Max(f.span, span)
+	s.spans, s.lines = s.spans+span, s.lines+1
 	v.note(load)
 	s.heard = true
 }
@@ -222,3 +226,63 @@
 	copy(s.dues[i+1:], s.dues[i:])
 	s.dues[i] = due{at, do}
 }
+
+// base is the table that a zone's proxies share: one for all, or the zone's where a class may not leave it.
+func (s *Steward) base(zone int) int {
+	if s.local {
+		return 1 + zone
+	}
+	return 0
+}
+
+// own is the number of a proxy's own table.
+func (s *Steward) own(p int) int { return 1 + s.fleet.Zones + p }
+
+// rest takes all proxies off their tables; join gives them others.
+func (s *Steward) rest(on bool) {
+	s.resting = on
+	for i := range s.proxies {
+		s.proxies[i].bound, s.proxies[i].own = false, false
+	}
+}
+
+// tally counts the proxies that are bound and those that wait, and for each server the proxies that hold it
+// and the traffic that hands bring it. It gives the traffic for each part of weight, too.
+func (s *Steward) tally() (bound, unbound int, fair float64) {
+	shared, traffic, weight := make([]int, s.fleet.Zones+1), 0.0, 1e-9
+	for i := range s.proxies {
+		if p := &s.proxies[i]; p.joined {
+			traffic += p.rate
+			if !p.bound {
+				unbound++
+			} else if bound++; !p.own {
+				shared[s.base(p.zone)]++
+			}
+		}
+	}
+	for _, h := range s.order {
+		v := &s.servers[h]
+		v.holders, v.carried, weight = shared[s.base(v.zone)], 0, weight+v.told
+	}
+	for i := range s.proxies {
+		p := &s.proxies[i]
+		p.held = 0
+		for k := 0; p.joined && p.own && k < len(p.hand); k++ {
+			v := &s.servers[p.hand[k]]
+			v.holders, v.carried, p.held = v.holders+1, v.carried+p.rate/float64(len(p.hand)), p.held+v.told
+		}
+	}
+	return bound, unbound, traffic / weight
+}
+
+// change is a weight that is not yet told.
+type change struct {
+	h          int
+	want, size float64
+}
+
+// loaded is a server's excess over its cap, below 0 room, and how much it can give.
+type loaded struct {
+	v           *server
+	excess, can float64
+}
--- a/decide/steward.go
+++ b/decide/steward.go
@@ -40,6 +40,7 @@
 
 // Guard holds the figures of the rules that the decisions need.
 type Guard struct {
+	Bare           float64 // a proxy may have no line for so long
 	Grace          float64 // after it a host known to drain or be gone is sent nothing
 	ColdFrom, Cold float64 // the part of its capacity a host starts with; the time until it is warm
 	FallMultiple   float64 // sent so many times its capacity, a cold host falls over
