Tell strained connections from one-sided links, restarts and overload

Now 0.6 of the hosts must fail 0.15 of their tries, 0.4 though idle, no more than 0.35 leave a probe unanswered, in two rounds, and none of it just after a rest.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,8 +34,10 @@
 	joinsTo      = 0.35    // by whole tables
 	inTime       = 0.3     // of the grace for drains: joining proxies get a table of ours
 	handLeast    = 6       // hosts in a proxy's own table
-	strainPart   = 0.2     // of the tries fail at hosts that are not busy
-	strainIdle   = 0.2     // of the hosts heard are such, and half of them fail, in a strain
+	strainPart   = 0.15    // of a host's tries fail
+	strainHosts  = 0.6     // of the hosts are such in a strain
+	strainIdle   = 0.4     // are such though not busy
+	strainSilent = 0.35    // at most leave a probe unanswered
 	traffic      = 0.3     // of a proxy's rate follows its last sums
 	shortHand    = 0.7     // of its due weight, under which a hand is filled up
 	dealtFirst   = 30000.0 // ms that tables of a few hosts are kept under strain
@@ -524,11 +526,12 @@
 // trial, after a time that doubles when the strain soon returns. Also guards against links that lose tries
 // everywhere; harms where hosts fail tries for reasons of their own, by a coarser balance.
 func (s *Steward) strain(w Writer) {
-	n, failing, idle := 1.0, 0.0, 0.0
+	n, failing, idle, silent := 1.0, 0.0, 0.0, 0.0
 	for _, h := range s.order {
 		if v := &s.servers[h]; v.won+v.lost >= 1 && v.phase == Ready {
 			n++
-			if v.lost > strainPart*(v.won+v.lost) && v.strikes < absences {
+			silent += float64(min(v.strikes, 1))
+			if v.lost > strainPart*(v.won+v.lost) {
 				failing++
 				if b := v.load.busy(); b >= 0 && b < easeUnder {
 					idle++
@@ -537,7 +540,7 @@
 		}
 	}
 	s.strained++
-	if failing < n/2 || idle < strainIdle*n {
+	if failing < strainHosts*n || idle < strainIdle*n || silent > strainSilent*n || s.now < s.stormNext {
 		s.strained = 0
 	}
 	if s.dealt && s.now >= s.dealtUntil {
