--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,7 @@
 	weightsTo    = 0.45    // by weights and levels
 	joinsTo      = 0.35    // by whole tables
 	inTime       = 0.3     // of the grace for drains: joining proxies get a table of ours
-	handLeast    = 6       // hosts in a proxy's own table
+	handLeast    = 4       // hosts in a proxy's own table
 	strainPart   = 0.15    // of a host's tries fail
 	strainHosts  = 0.6     // of the hosts are such in a strain
 	strainIdle   = 0.4     // are such though not busy
@@ -738,7 +738,7 @@
 		p := &s.proxies[i]
 		cost := whole(p) + b.head
 		late := !s.local && (float64(unbound)*cost+b.before)/(c.LinesPerS*slowest)*1000 > s.guard.Grace*inTime
-		few := s.dealt || s.resting || late && !p.bound || p.own && len(p.hand) < handLeast/2
+		few := s.dealt || s.resting || late && !p.bound
 		room := b.queue+cost <= joinsTo*c.MostWaiting || b.queue == 0
 		if !few && room && (!p.bound || s.purse > c.LinesPerS/2) {
 			if b.reach(i, cost-b.head); p.bound {
@@ -746,7 +746,7 @@
 			}
 			w.Bind(i, s.base(p.zone), 0)
 			p.bound, p.own = true, false
-		} else if few && !s.local && b.queue+b.head+float64(handLeast) <= guardsTo*c.MostWaiting {
+		} else if (few && !p.own || short(p)) && !s.local && b.queue+b.head+float64(handLeast) <= guardsTo*c.MostWaiting {
 			for !p.own && len(p.hand) > 0 {
 				w.Line(s.own(i), p.hand[0], 0)
 				p.hand = p.hand[1:]
