--- a/decide/decide.go
+++ b/decide/decide.go
@@ -620,16 +620,13 @@
 		met: make([]bool, len(s.proxies))}
 	b.queue = b.before
 	lines := make([]int, s.fleet.Zones+1)
-	bound, unbound, fair := s.tally()
+	bound, unbound, most, fair := s.tally(c.MessagesOver)
 	if s.number == 0 && unbound == 0 {
 		return
 	}
-	for len(s.sent) > 0 && s.sent[0] < s.now-c.MessagesOver {
-		s.sent = s.sent[1:]
-	}
 	fits := func(n int, part float64) bool {
 		return b.queue+float64(n)+float64(min(n, bound-b.asked))*b.head <= part*c.MostWaiting &&
-			(c.MessagesMost == 0 || b.asked > 0 || float64(len(s.sent)+2) <= part*float64(c.MessagesMost))
+			(b.asked >= bound || c.may(most, part))
 	}
 	if heats := s.heat(float64(s.fleet.Ejects), s.guard.FallMultiple); heats != s.heats {
 		s.heats = heats
@@ -669,7 +666,6 @@
 	if s.open() && fits(bound, guardsTo) {
 		s.tellLevels(w, b)
 	}
-	urgent := b.asked
 	s.join(w, c, b, unbound, lines, fair)
 	b.number = s.number%60000 + 1
 	if start := b.queue; s.open() {
@@ -681,7 +677,7 @@
 			}
 		}
 		if b.queue > start {
-			s.mark, s.markAt, urgent = b.number, s.now, b.asked
+			s.mark, s.markAt = b.number, s.now
 		}
 	}
 	if added := b.queue - b.before; added > 0 {
@@ -690,8 +686,10 @@
 		s.batches, s.number = append(s.batches, *b), b.number
 		s.queued, s.ordered = s.queued+added, s.ordered+added
 	}
-	if urgent > 0 {
-		s.sent = append(s.sent, s.now)
+	for i, met := range b.met {
+		if met {
+			s.proxies[i].sent = append(s.proxies[i].sent, s.now)
+		}
 	}
 }
 
@@ -736,6 +734,9 @@
 	})
 	for _, i := range due {
 		p := &s.proxies[i]
+		if !c.may(len(p.sent), guardsTo) && (p.bound || !c.may(len(p.sent), drainsTo)) {
+			continue
+		}
 		cost := whole(p) + b.head
 		late := !s.local && (float64(unbound)*cost+b.before)/(c.LinesPerS*slowest)*1000 > s.guard.Grace*inTime
 		few := s.dealt || s.resting || late && !p.bound
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -330,7 +330,7 @@
 	b.servers[1].out, b.servers[1].strikes = true, 5
 	b.run(200, nil)
 	for range 10 {
-		b.sent = append(b.sent, b.now)
+		b.proxies[0].sent = append(b.proxies[0].sent, b.now)
 	}
 	b.ListChange()
 	b.Entry(0, 0, Draining, 1, 0)
--- a/decide/state.go
+++ b/decide/state.go
@@ -39,10 +39,11 @@
 
 type proxy struct {
 	zone               int
-	rate               float64 // transactions a second that it usually gets
-	joined, bound, own bool    // bound to the shared table, or to one of its own
-	hand               []int   // the hosts in its own table
-	held, came, span   float64 // their weight; transactions that came lately, in this time
+	rate               float64   // transactions a second that it usually gets
+	joined, bound, own bool      // bound to the shared table, or to one of its own
+	hand               []int     // the hosts in its own table
+	sent               []float64 // times of messages to it
+	held, came, span   float64   // their weight; transactions that came lately, in this time
 }
 
 // due is work for a later time.
@@ -108,7 +109,6 @@
 	queued, ordered, through float64 // lines waiting at the least pace; ordered; known to have left
 	purse                    float64 // lines that weights may cost
 	batches                  []batch
-	sent                     []float64 // times of messages to all
 }
 
 // grown gives the list with at least n entries, new ones as fresh.
@@ -247,11 +247,16 @@
 }
 
 // tally counts the proxies that are bound and those that wait, and for each server the proxies that hold it
-// and the traffic that hands bring it. It gives the traffic for each part of weight, too.
-func (s *Steward) tally() (bound, unbound int, fair float64) {
+// and the traffic that hands bring it. It gives the most messages that one proxy was sent lately, and the
+// traffic for each part of weight, too.
+func (s *Steward) tally(over float64) (bound, unbound, most int, fair float64) {
 	shared, traffic, weight := make([]int, s.fleet.Zones+1), 0.0, 1e-9
 	for i := range s.proxies {
 		if p := &s.proxies[i]; p.joined {
+			for len(p.sent) > 0 && p.sent[0] < s.now-over {
+				p.sent = p.sent[1:]
+			}
+			most = max(most, len(p.sent))
 			traffic += p.rate
 			if !p.bound {
 				unbound++
@@ -272,7 +277,7 @@
 			v.holders, v.carried, p.held = v.holders+1, v.carried+p.rate/float64(len(p.hand)), p.held+v.told
 		}
 	}
-	return bound, unbound, traffic / weight
+	return bound, unbound, most, traffic / weight
 }
 
 // change is a weight that is not yet told.
@@ -286,3 +291,8 @@
 	v           *server
 	excess, can float64
 }
+
+// may tells whether a proxy that was sent so many messages may be sent one more within a part of the cap.
+func (c Channel) may(sent int, part float64) bool {
+	return c.MessagesMost == 0 || float64(sent+2) <= part*float64(c.MessagesMost)
+}
