--- a/decide/decide.go
+++ b/decide/decide.go
@@ -309,7 +309,8 @@
 	for _, h := range s.order {
 		v := &s.servers[h]
 		if b := v.load.busy(); s.serving(v) && b >= 0 {
-			busy, n = busy+b*v.weight, n+v.weight
+			tries := v.won + v.lost // a host that is not heard has an old report
+			busy, n = busy+b*tries, n+tries
 		}
 		good, slow = good+v.rate, slow+v.rate*v.r
 	}
