--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,9 +29,9 @@
 	ordersPart   = 0.03    // of the result may go into the price of weights
 	gather       = 250.0   // ms in which urgent orders gather into one message
 	drainsTo     = 0.95    // of the channel's caps may be filled by removals of hosts that drain or are gone
-	guardsTo     = 0.7     // by withdrawals, by what guards cold hosts and by tables of a few hosts
+	guardsTo     = 0.55    // by withdrawals, by what guards cold hosts and by tables of a few hosts
 	weightsTo    = 0.45    // by weights and levels
-	joinsTo      = 0.35    // by whole tables
+	joinsTo      = 0.3     // by whole tables
 	inTime       = 0.3     // of the grace for drains: joining proxies get a table of ours
 	handLeast    = 4       // hosts in a proxy's own table
 	strainPart   = 0.15    // of a host's tries fail
@@ -364,10 +364,10 @@
 	}
 }
 
-// relieve ends a storm of repeats where proxies heed no level: most servers fail most tries, and the work
-// that clients gave up on keeps it so after the cause is gone. All proxies go to one server until the
-// patience of every class is over, then return together to emptier queues. It must not act on a cut or a
-// hang, where some servers fulfil; where capacity is lacking it trades a steady failure for good spells.
+// relieve ends a storm of repeats where proxies heed no level: work that clients gave up on keeps most
+// tries failing after the cause is gone. All proxies go to one server until the patience of every class is
+// over, then return to emptier queues. It must not act on a cut or a hang, where some servers fulfil; where
+// capacity is lacking it trades a steady failure for good spells.
 func (s *Steward) relieve(w Writer, classes []Class, most float64) {
 	n, failing := 0.0, 0.0
 	s.keep = -1
@@ -434,8 +434,7 @@
 			continue
 		}
 		if v.out {
-			// A proxy that joins from a cut-off zone proves the way there; its traffic must not all go
-			// elsewhere.
+			// A proxy that joins from a cut-off zone proves the way there.
 			if v.fine < 2 && (v.absent || !s.zoneBack[v.zone]) {
 				continue
 			}
@@ -484,34 +483,38 @@
 	return false
 }
 
-// heat tells whether cold servers may be sent to at all. Proxies that shun hosts after failures of their
-// own would send all they have to a fresh one, and until sums show our own first orders nobody knows how
-// the fleet fares under them. Where no ready server is warm, the cold ones together must bear the traffic.
+// heat tells whether cold servers may be sent to at all. Shunning proxies would send a fresh one all they
+// have, and until sums show our own first orders nobody knows how the fleet fares under them. Where no
+// ready server is warm, the cold ones together must bear the traffic.
 func (s *Steward) heat(ejects, multiple float64) bool {
-	warm, able, all := false, 0.0, 0.0
+	warm, able, all, held := false, 0.0, 0.0, 0.0
 	for _, h := range s.order {
 		v := &s.servers[h]
 		all += v.listed
 		if v.phase == Ready {
 			able += v.listed * s.warmth(v, s.guard)
-			warm = warm || s.warmth(v, s.guard) >= 1
+			if s.warmth(v, s.guard) >= 1 {
+				warm, held = true, held+v.told
+			}
 		}
 	}
-	if !warm {
+	if s.thin = math.Min(1, held/math.Max(all, 1e-9)); !warm {
+		s.thin = 1
 		return able*multiple >= coldOnlyPart*all
 	}
 	return s.heardAt >= s.knowing && (ejects == 0 || math.Pow(1-s.fulfilled, ejects) <= shunned)
 }
 
 // want is the weight that a server should have in the tables. A cold one gets no more than the least it can
-// surely do, less where the fleet fails tries: all proxies together then stay under its budget.
+// surely do, less where the fleet fails tries or its warm lines weigh less than listed (what they lack would
+// come to it): all proxies together then stay under its budget.
 func (s *Steward) want(v *server, bare bool) float64 {
 	warm := s.warmth(v, s.guard)
 	if v.phase != Ready || !bare && v.out || warm < 1 && !s.heats {
 		return 0
 	}
 	if warm < 1 {
-		warm *= s.fulfilled * math.Min(1, s.guard.FallMultiple*budgetPart)
+		warm *= s.fulfilled * s.thin * math.Min(1, s.guard.FallMultiple*budgetPart)
 	}
 	// A host that fails its tries loses weight at once, whatever ails it; a fleet that fails does not.
 	trust := math.Max(trustLeast, (v.won+2)/(v.won+v.lost+2))
@@ -523,9 +526,9 @@
 
 // strain tells connections that fail or are dear from a lack of capacity: many servers fail tries although
 // they answer probes and report idle cores. Then every proxy gets a table of its own with a few hosts, to
-// which it keeps its connections. With those the strain no longer shows, so the one table comes back by
-// trial, after a time that doubles when the strain soon returns. Also guards against links that lose tries
-// everywhere; harms where hosts fail tries for reasons of their own, by a coarser balance.
+// which it keeps its connections. The strain no longer shows then, so the one table comes back by trial,
+// after a time that doubles when it soon returns. Also guards against links that lose tries everywhere;
+// harms where hosts fail tries for reasons of their own, by a coarser balance.
 func (s *Steward) strain(w Writer) {
 	n, failing, idle, silent := 1.0, 0.0, 0.0, 0.0
 	for _, h := range s.order {
@@ -608,11 +611,10 @@
 	return true
 }
 
-// publish writes what changed, as much as the channel takes: removals first, then what guards cold and
-// withdrawn servers, then joins, then weights, the largest changes first, once most proxies have the last
-// ones and the price of orders allows. Each may fill a part of the caps and leaves the rest to those before
-// it; what does not fit waits for a later round. What waits is all that was not answered, or less if it
-// must have left at the least pace.
+// publish writes what changed, as much as the channel takes: removals, then what guards cold and withdrawn
+// servers, joins, and weights, the largest changes first, once most proxies have the last ones and the
+// price of orders allows. Each may fill a part of the caps; what does not fit waits. In the channel is all
+// that was not answered, or less if it must have left at the least pace.
 func (s *Steward) publish(w Writer, c Channel) {
 	passed := (s.now - s.queuedAt) / 1000 * c.LinesPerS
 	s.queued, s.queuedAt = math.Max(0, s.queued-passed*slowest), s.now
--- a/decide/state.go
+++ b/decide/state.go
@@ -71,6 +71,7 @@
 	now, wakeAt float64
 	knowing     float64 // sums from then on show our own first orders
 	heats       bool    // cold servers may be sent to
+	thin        float64 // weight of the warm lines, as a part of all that is listed
 	counter     uint64
 	servers     []server
 	order       []int // hosts in the order they were first listed
