Tell starts like removals, ahead of all else, or by a few warm hosts where that is sooner

Now starts rank with removals, nothing else goes while one is not told, and where the lines would take longer than 0.3 of the grace every proxy with the shared table is bound to a few warm hosts instead. Guards against any wave that outruns the channel; harms by a coarser balance until the whole table is back. Tests: ManyStart, MessageCap.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -166,7 +166,7 @@
 	}
 }
 
-// report takes in a round of sums and moves load. Without sums nothing of this happens and the tables stay.
+// report takes in a round of sums. Without sums nothing of this happens and the tables stay.
 func (s *Steward) report(w Writer, period float64) {
 	passed := period
 	if s.heardAt >= 0 {
@@ -231,19 +231,6 @@
 	}
 }
 
-// serving servers take part in moves: ready, in the tables with their full weight, and warm.
-func (s *Steward) serving(v *server) bool {
-	return v.phase == Ready && !v.out && s.part(v) >= 1 && s.warmth(v, s.guard) >= 1
-}
-
-// warmth is the least part of its capacity that a server has after its start.
-func (s *Steward) warmth(v *server, g Guard) float64 {
-	if v.started < 0 || s.now >= v.started+g.Cold {
-		return 1
-	}
-	return g.ColdFrom + (1-g.ColdFrom)*math.Max(s.now-v.started, 0)/g.Cold
-}
-
 // capOf gives the arrival rate up to which a server meets the deadline d, all but a part epsilon.
 func capOf(rate, r, median float64) float64 {
 	mu := rate + 1000/r
@@ -404,10 +391,9 @@
 		failing, n, s.fulfilled, s.keep, rest))
 }
 
-// judge withdraws servers on proof, by symptom and whatever the cause, and lets them return by trial. Proof
-// is absence, or silence while no try is fulfilled there, alone or with its zone. It must not take a busy
-// server for a silent one: many silent at once, or a fleet that fails, prove nothing. What is left must
-// carry the traffic of the proxies still joined.
+// judge withdraws servers on proof, by symptom, and lets them return by trial. Proof is absence, or silence
+// while no try is fulfilled there, alone or with its zone. It must not take a busy server for a silent one:
+// many silent, or a fleet that fails, prove nothing. What is left must carry the joined proxies' traffic.
 func (s *Steward) judge(w Writer) {
 	listed, in, silent, n := 0.0, 0.0, 0, 0
 	all, fine, mute := make([]int, s.fleet.Zones), make([]int, s.fleet.Zones), make([]int, s.fleet.Zones)
@@ -470,9 +456,8 @@
 	return math.Min(1, trialPart*math.Exp2(math.Floor((s.now-v.back)/trialStep)))
 }
 
-// left tells whether a warm line is left in a base table: one that should be there, and where held is set
-// is there already. Where none should be, withdrawals are passed over, since a host that may fail is better
-// than none; where none is held, additions go as early as removals.
+// left tells whether a base table should hold, or (held) holds already, a warm line. Where none should be,
+// withdrawals are passed over; where none is held, additions go as early as removals.
 func (s *Steward) left(base int, held bool) bool {
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -505,9 +490,8 @@
 	return s.heardAt >= s.knowing && (ejects == 0 || math.Pow(1-s.fulfilled, ejects) <= shunned)
 }
 
-// want is the weight that a server should have in the tables. A cold one gets no more than the least it can
-// surely do, less where the fleet fails tries or its warm lines weigh less than listed (what they lack would
-// come to it): all proxies together then stay under its budget.
+// want is the weight that a server should have. A cold one gets the least it can surely do, less where the
+// fleet fails tries or its warm lines weigh less than listed: all proxies together stay under its budget.
 func (s *Steward) want(v *server, bare bool) float64 {
 	warm := s.warmth(v, s.guard)
 	if v.phase != Ready || !bare && v.out || warm < 1 && !s.heats {
@@ -568,8 +552,8 @@
 	return l.Util
 }
 
-// deal fills up the hand of a proxy: with servers that carry least for their weight so far, of its own zone
-// while they are under their fair share, until the hand has the weight that the proxy's traffic is due.
+// deal fills up the hand of a proxy to the weight its traffic is due, with servers that carry least for
+// their weight so far, of its own zone while they are under their fair share.
 func (s *Steward) deal(w Writer, i int, fair float64) int {
 	p, got, free := &s.proxies[i], 0.0, []int(nil)
 	near := func(v *server) bool { return v.zone == p.zone && v.carried < fair*v.told }
@@ -601,7 +585,7 @@
 	return len(p.hand) - had
 }
 
-// open tells whether the last weights are in force at most proxies that got them, or 2 s have passed.
+// open tells whether most proxies that got the last weights answered, or 2 s have passed.
 func (s *Steward) open() bool {
 	for _, b := range s.batches {
 		if b.number == s.mark && float64(b.answers) < ackPart*float64(b.asked) {
@@ -623,7 +607,13 @@
 		met: make([]bool, len(s.proxies))}
 	b.queue = b.before
 	lines := make([]int, s.fleet.Zones+1)
-	bound, unbound, most, fair := s.tally(c.MessagesOver)
+	bound, unbound, most, fair, cuts := s.tally(c.MessagesOver, s.starting)
+	if s.tooLate(cuts, c) && !s.local { // a few hosts for each proxy are sooner told than all that started
+		for i := range s.proxies {
+			s.proxies[i].bound = s.proxies[i].bound && s.proxies[i].own
+		}
+		bound, unbound, most, fair, _ = s.tally(c.MessagesOver, s.starting)
+	}
 	if s.number == 0 && unbound == 0 {
 		return
 	}
@@ -641,37 +631,36 @@
 	}
 	var later []change
 	soon := s.now >= s.urgentAt+gather
-	for _, gone := range []bool{true, false} {
+	behind := false // a removal or start is not told yet: what else a proxy gets would count as knowing it
+	for rank, part := range []float64{drainsTo, guardsTo} {
 		for _, h := range s.order {
 			v := &s.servers[h]
-			if gone != (v.phase != Ready) {
+			want, scant := s.want(v, bare[s.base(v.zone)]), thin[s.base(v.zone)]
+			started := s.starting(v)
+			first := v.phase != Ready || started
+			if first != (rank == 0) {
 				continue
 			}
-			want, part, scant := s.want(v, bare[s.base(v.zone)]), guardsTo, thin[s.base(v.zone)]
 			if want > 0 {
 				lines[s.base(v.zone)]++
 			}
-			if gone {
-				part = drainsTo
-			}
-			size := math.Abs(want - v.told)
-			guards := want == 0 || scant && v.told == 0 || s.warmth(v, s.guard) < 1 && want < v.told*0.9
-			if size > 0 && (v.holders == 0 || guards && (soon || scant) && fits(v.holders, part)) {
+			size, guards := math.Abs(want-v.told), started || want == 0 || scant && v.told == 0
+			if size > 0 && (v.holders == 0 || guards && !behind && (soon || scant) && fits(v.holders, part)) {
 				if v.holders > 0 {
 					s.urgentAt = s.now
 				}
 				s.write(w, h, want, b)
-			} else if size > worthTell*math.Max(v.told, floorPart*v.listed) {
+			} else if behind = behind || first && size > 0; size > worthTell*math.Max(v.told, floorPart*v.listed) {
 				later = append(later, change{h, want, size})
 			}
 		}
 	}
-	if s.open() && fits(bound, guardsTo) {
+	if s.open() && !behind && fits(bound, guardsTo) {
 		s.tellLevels(w, b)
 	}
-	s.join(w, c, b, unbound, lines, fair)
+	s.join(w, c, b, unbound, lines, fair, behind)
 	b.number = s.number%60000 + 1
-	if start := b.queue; s.open() {
+	if start := b.queue; s.open() && !behind {
 		sort.SliceStable(later, func(i, j int) bool { return later[i].size > later[j].size })
 		for _, l := range later {
 			if was := b.queue; s.purse > 0 && fits(s.servers[l.h].holders, weightsTo) {
@@ -696,6 +685,16 @@
 	}
 }
 
+// tooLate tells whether so many lines take too long to keep the grace for drains.
+func (s *Steward) tooLate(lines float64, c Channel) bool {
+	return lines/(c.LinesPerS*slowest)*1000 > s.guard.Grace*inTime
+}
+
+// starting tells whether the tables hold more of a cold server than it may get.
+func (s *Steward) starting(v *server) bool {
+	return s.warmth(v, s.guard) < 1 && s.want(v, false) < v.told*0.9
+}
+
 // write sets the line of a server in every table that holds it.
 func (s *Steward) write(w Writer, h int, want float64, b *batch) {
 	v := &s.servers[h]
@@ -720,7 +719,7 @@
 // join binds proxies to the shared table: those without a table of ours first, then by their traffic. One
 // that cannot have the whole table in time first gets a few hosts, since it must not go on by an old one;
 // so does every proxy under strain. A hand that lost servers is filled up.
-func (s *Steward) join(w Writer, c Channel, b *batch, unbound int, lines []int, fair float64) {
+func (s *Steward) join(w Writer, c Channel, b *batch, unbound int, lines []int, fair float64, behind bool) {
 	whole := func(p *proxy) float64 { return float64(lines[s.base(p.zone)]) + 2 }
 	short := func(p *proxy) bool {
 		return p.own && !s.resting && (len(p.hand) < handLeast || p.held*fair < shortHand*p.rate)
@@ -741,16 +740,17 @@
 			continue
 		}
 		cost := whole(p) + b.head
-		late := !s.local && (float64(unbound)*cost+b.before)/(c.LinesPerS*slowest)*1000 > s.guard.Grace*inTime
-		few := s.dealt || s.resting || late && !p.bound
+		late := !s.local && s.tooLate(float64(unbound)*cost+b.before, c)
+		few := s.dealt || s.resting || (late || behind) && !p.bound
 		room := b.queue+cost <= joinsTo*c.MostWaiting || b.queue == 0
-		if !few && room && (!p.bound || s.purse > c.LinesPerS/2) {
+		if !few && !behind && room && (!p.bound || s.purse > c.LinesPerS/2) {
 			if b.reach(i, cost-b.head); p.bound {
 				s.purse -= cost
 			}
 			w.Bind(i, s.base(p.zone), 0)
 			p.bound, p.own = true, false
-		} else if (few && !p.own || short(p)) && !s.local && b.queue+b.head+float64(handLeast) <= guardsTo*c.MostWaiting {
+		} else if !s.local && (few && !p.own || short(p) && !behind) &&
+			b.queue+b.head+handLeast <= guardsTo*c.MostWaiting {
 			for !p.own && len(p.hand) > 0 {
 				w.Line(s.own(i), p.hand[0], 0)
 				p.hand = p.hand[1:]
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -79,6 +79,7 @@
 	b.ListChange()
 	b.Entry(2, 0, Gone, 0, 0)
 	b.Round(b.now, b)
+	b.run(400, nil)
 	b.check(t)
 }
 
@@ -241,6 +242,38 @@
 	b.check(t)
 }
 
+// Nearly all hosts start anew at once and the lines to say so of each would come too late: every proxy gets
+// a few warm hosts instead, and nothing else goes out before.
+func TestManyStart(t *testing.T) {
+	set := plain()
+	set.Proxies, set.Channel.LinesPerS, set.Channel.MostWaiting, set.Grace = 4, 60, 200, 3000
+	b := start(set, 14)
+	b.run(12000, alike(14, [3]float64{10, 0, 200}))
+	b.say("hosts 4 to 13 start anew")
+	b.ListChange()
+	for h := 4; h < 14; h++ {
+		b.Entry(h, h%2, Ready, 1, b.now-100)
+	}
+	b.run(200, nil)
+	b.check(t)
+}
+
+// A proxy that was sent all the messages it may get waits, whatever the others were sent.
+func TestMessageCap(t *testing.T) {
+	set := plain()
+	set.MessagesMost = 20
+	b := start(set, 3)
+	for range 18 {
+		b.proxies[1].sent = append(b.proxies[1].sent, b.now)
+	}
+	b.ListChange()
+	b.Entry(2, 0, Draining, 1, 0)
+	b.run(400, nil)
+	b.say("the first messages are ten seconds old")
+	b.run(11000, nil)
+	b.check(t)
+}
+
 // Idle hosts that answer probes fail tries everywhere: connections are short, so tables are dealt. The one
 // table comes back by trial.
 func TestStrain(t *testing.T) {
