--- a/decide/decide.go
+++ b/decide/decide.go
@@ -356,8 +356,7 @@
 // over, then return to emptier queues. It must not act on a cut or a hang, where some servers fulfil; where
 // capacity is lacking it trades a steady failure for good spells.
 func (s *Steward) relieve(w Writer, classes []Class, most float64) {
-	n, failing := 0.0, 0.0
-	s.keep = -1
+	n, failing, keep := 0.0, 0.0, -1
 	for _, h := range s.order {
 		v := &s.servers[h]
 		if v.won+v.lost >= 1 {
@@ -366,8 +365,8 @@
 				failing++
 			}
 		}
-		if s.serving(v) && (s.keep < 0 || v.listed > s.servers[s.keep].listed) {
-			s.keep = h
+		if s.serving(v) && (keep < 0 || v.listed > s.servers[keep].listed) {
+			keep = h
 		}
 	}
 	s.tries, s.storm = 1, s.storm+1
@@ -377,7 +376,7 @@
 	if s.fulfilled > 1-stormPart || failing < stormPart*n {
 		s.storm = 0
 	}
-	if s.storm < 2 || s.now < s.stormNext || s.keep < 0 || s.local {
+	if s.storm < 2 || s.now < s.stormNext || keep < 0 || s.local {
 		return
 	}
 	rest := s.channel.Late
@@ -385,6 +384,7 @@
 		rest = math.Max(rest, math.Min(c.Patience, most)+s.channel.Late)
 	}
 	s.stormNext = s.now + rest + 2*s.settle
+	s.keep = keep
 	s.rest(true)
 	s.add(rest, func(Writer) { s.rest(false) })
 	w.Log(fmt.Sprintf("storm: %.0f of %.0f hosts failing, fulfilled %.2f: all but host %d rest %.0f ms",
@@ -607,13 +607,7 @@
 		met: make([]bool, len(s.proxies))}
 	b.queue = b.before
 	lines := make([]int, s.fleet.Zones+1)
-	bound, unbound, most, fair, cuts := s.tally(c.MessagesOver, s.starting)
-	if s.tooLate(cuts, c) && !s.local { // a few hosts for each proxy are sooner told than all that started
-		for i := range s.proxies {
-			s.proxies[i].bound = s.proxies[i].bound && s.proxies[i].own
-		}
-		bound, unbound, most, fair, _ = s.tally(c.MessagesOver, s.starting)
-	}
+	bound, unbound, most, fair := s.tally(c.MessagesOver)
 	if s.number == 0 && unbound == 0 {
 		return
 	}
@@ -632,13 +626,12 @@
 	var later []change
 	soon := s.now >= s.urgentAt+gather
 	behind := false // a removal or start is not told yet: what else a proxy gets would count as knowing it
-	for rank, part := range []float64{drainsTo, guardsTo} {
+	for rank, part := range []float64{drainsTo, drainsTo, guardsTo} {
 		for _, h := range s.order {
 			v := &s.servers[h]
 			want, scant := s.want(v, bare[s.base(v.zone)]), thin[s.base(v.zone)]
-			started := s.starting(v)
-			first := v.phase != Ready || started
-			if first != (rank == 0) {
+			started := v.phase == Ready && s.starting(v)
+			if first := rank < 2; first != (v.phase != Ready || started) || first && started != (rank == 1) {
 				continue
 			}
 			if want > 0 {
@@ -650,7 +643,7 @@
 					s.urgentAt = s.now
 				}
 				s.write(w, h, want, b)
-			} else if behind = behind || first && size > 0; size > worthTell*math.Max(v.told, floorPart*v.listed) {
+			} else if behind = behind || rank < 2 && size > 0; size > worthTell*math.Max(v.told, floorPart*v.listed) {
 				later = append(later, change{h, want, size})
 			}
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -249,8 +249,8 @@
 
 // tally counts the proxies that are bound and those that wait, and for each server the proxies that hold it
 // and the traffic that hands bring it. It gives the most messages that one proxy was sent lately, and the
-// traffic for each part of weight and the lines that removals and starts would cost, too.
-func (s *Steward) tally(over float64, starting func(*server) bool) (bound, unbound, most int, fair, cuts float64) {
+// traffic for each part of weight, too.
+func (s *Steward) tally(over float64) (bound, unbound, most int, fair float64) {
 	shared, traffic, weight := make([]int, s.fleet.Zones+1), 0.0, 1e-9
 	for i := range s.proxies {
 		if p := &s.proxies[i]; p.joined {
@@ -278,12 +278,7 @@
 			v.holders, v.carried, p.held = v.holders+1, v.carried+p.rate/float64(len(p.hand)), p.held+v.told
 		}
 	}
-	for _, h := range s.order {
-		if v := &s.servers[h]; v.told > 0 && (v.phase != Ready || starting(v)) {
-			cuts += float64(shared[s.base(v.zone)])
-		}
-	}
-	return bound, unbound, most, traffic / weight, cuts
+	return bound, unbound, most, traffic / weight
 }
 
 // change is a weight that is not yet told.
