--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,7 @@
 	ackWait      = 2000.0  // or so long after it
 	worthTell    = 0.06    // relative change of a weight that is worth a line
 	ordersPart   = 0.03    // of the result may go into the price of weights
-	gather       = 250.0   // ms in which urgent orders gather into one message
+	gather       = 350.0   // ms in which urgent orders gather into one message
 	drainsTo     = 0.95    // of the channel's caps may be filled by removals of hosts that drain or are gone
 	guardsTo     = 0.55    // by withdrawals, by what guards cold hosts and by tables of a few hosts
 	weightsTo    = 0.45    // by weights and levels
@@ -94,11 +94,14 @@
 			started = s.now
 		}
 	}
+	if phase != v.phase || started > 0 && started != v.started {
+		v.since = s.now
+	}
 	v.weight *= listed / v.listed
 	v.seen, v.zone, v.phase, v.listed = true, zone, phase, listed
 	if started > 0 && started != v.started {
 		*v = server{zone: zone, phase: phase, seen: true, listed: listed, started: started, weight: listed,
-			r: s.median, told: v.told, load: NoLoad, probing: v.probing, back: longAgo}
+			r: s.median, told: v.told, load: NoLoad, probing: v.probing, back: longAgo, since: s.now}
 	}
 }
 
@@ -190,10 +193,9 @@
 	}
 }
 
-// estimate brings λ and R of each server up to date. λ is the whole rate: as reported, else our own sums
-// over our share of the proxies. A failed try counts as one that took the deadline d, so that quick errors
-// and few answers never read as room; it stays out of the median. Average answers keep a noisy R of few
-// answers from faking overload.
+// estimate brings λ, the whole rate (as reported, else our own sums over our share of the proxies), and R up
+// to date. A failed try counts as one that took d, so that errors and few answers never read as room; it
+// stays out of the median. Average answers keep a noisy R from faking overload.
 func (s *Steward) estimate(share, period, passed float64) {
 	var heard []float64
 	good, all := 1.0, 1.0
@@ -240,8 +242,7 @@
 
 // shift is the design's mechanism: from the most overloaded server, min{excess, room, sender's rate} goes
 // to the roomiest, servers of the same zone first; with none over its cap the weights drift back. Both
-// sides of a move then wait until it shows. A move too small to tell is left, since it would only hold up
-// the next.
+// sides of a move wait until it shows; one too small to tell is left, since it would only hold up the next.
 func (s *Steward) shift() {
 	var over, all []loaded
 	total, weights := 0.0, 0.0
@@ -288,9 +289,8 @@
 	}
 }
 
-// admit sets how much is let in. Only measured overload lowers it: busy cores, together with failed tries
-// or response times that eat up the due time. A step down follows the part of the tries fulfilled, a step
-// up the idle cores.
+// admit sets how much is let in. Only measured overload lowers it: busy cores, with failed tries or R that
+// eats up the due time. A step down follows the part of the tries fulfilled, a step up the idle cores.
 func (s *Steward) admit(w Writer, classes []Class, goal Goal) {
 	busy, n, good, slow, came, dueTime := 0.0, 0.0, 1e-9, 0.0, 1e-9, 0.0
 	for _, h := range s.order {
@@ -625,9 +625,16 @@
 	}
 	var later []change
 	soon := s.now >= s.urgentAt+gather
+	order := s.order
+	if s.behind { // the channel is short: first what has waited longest
+		order = slices.Clone(s.order)
+		sort.SliceStable(order, func(i, j int) bool {
+			return s.servers[order[i]].since < s.servers[order[j]].since
+		})
+	}
 	behind := false // a removal or start is not told yet: what else a proxy gets would count as knowing it
 	for rank, part := range []float64{drainsTo, drainsTo, guardsTo} {
-		for _, h := range s.order {
+		for _, h := range order {
 			v := &s.servers[h]
 			want, scant := s.want(v, bare[s.base(v.zone)]), thin[s.base(v.zone)]
 			started := v.phase == Ready && s.starting(v)
@@ -648,6 +655,7 @@
 			}
 		}
 	}
+	s.behind = behind
 	if s.open() && !behind && fits(bound, guardsTo) {
 		s.tellLevels(w, b)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -242,8 +242,7 @@
 	b.check(t)
 }
 
-// Nearly all hosts start anew at once and the lines to say so of each would come too late: every proxy gets
-// a few warm hosts instead, and nothing else goes out before.
+// Nearly all hosts start anew at once: their lines go out before all else, in pieces, what has waited longest first.
 func TestManyStart(t *testing.T) {
 	set := plain()
 	set.Proxies, set.Channel.LinesPerS, set.Channel.MostWaiting, set.Grace = 4, 60, 200, 3000
--- a/decide/state.go
+++ b/decide/state.go
@@ -28,6 +28,7 @@
 	hold            float64 // no move before this time
 	holders         int     // proxies that hold it in a table of their own
 	carried         float64 // and the traffic they send there
+	since           float64 // when the list last changed what it says of it
 	fed             float64 // when sums last showed a try fulfilled
 	strikes, fine   int     // probes in a row unanswered, answered
 	absent          bool    // the last unanswered probe found nothing there
@@ -71,6 +72,7 @@
 	now, wakeAt float64
 	knowing     float64 // sums from then on show our own first orders
 	heats       bool    // cold servers may be sent to
+	behind      bool    // removals or starts wait for the channel
 	thin        float64 // weight of the warm lines, as a part of all that is listed
 	counter     uint64
 	servers     []server
