--- a/decide/decide.go
+++ b/decide/decide.go
@@ -155,8 +155,8 @@
 	s.add(every, func(w Writer) { s.probe(w, h) })
 }
 
-// follow keeps the subscription to the list where the list must be asked. A failed call is repeated after a
-// wait that doubles up to a bound, with some chance in it so that stewards do not ask in step.
+// follow keeps the subscription where the list must be asked. A failed call is repeated after a wait that
+// doubles up to a bound, with some chance in it so that stewards do not ask in step.
 func (s *Steward) follow(w Writer) {
 	if s.wakeAt < 0 {
 		w.Watch()
@@ -625,9 +625,8 @@
 	}
 	var later []change
 	soon := s.now >= s.urgentAt+gather
-	order := s.order
+	order := slices.Clone(s.order)
 	if s.behind { // the channel is short: first what has waited longest
-		order = slices.Clone(s.order)
 		sort.SliceStable(order, func(i, j int) bool {
 			return s.servers[order[i]].since < s.servers[order[j]].since
 		})
