--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -80,6 +80,10 @@
 	b.Entry(2, 0, Gone, 0, 0)
 	b.Round(b.now, b)
 	b.run(400, nil)
+	b.say("the drain of host 1 is taken back")
+	b.ListChange()
+	b.Entry(1, 1, Ready, 1, 0)
+	b.run(800, alike(4, [3]float64{10, 0, 200}))
 	b.check(t)
 }
 
