Move what decides from state.go to the policy file; let hosts long gone be forgotten

Change: the four functions moved unchanged; Forget and ForgetProxy drop what is kept of a host or proxy that is gone, and a probe chain ends when its host was forgotten.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -101,7 +101,7 @@
 	v.seen, v.zone, v.phase, v.listed = true, zone, phase, listed
 	if started > 0 && started != v.started {
 		*v = server{zone: zone, phase: phase, seen: true, listed: listed, started: started, weight: listed,
-			r: s.median, told: v.told, load: NoLoad, probing: v.probing, back: longAgo, since: s.now}
+			r: s.median, told: v.told, load: NoLoad, probing: v.probing, back: longAgo, since: s.now, life: v.life}
 	}
 }
 
@@ -113,7 +113,8 @@
 	}
 	if s.fleet.MayProbe {
 		for _, h := range s.order[s.planned:] {
-			s.add(s.chance()*1000, func(w Writer) { s.probe(w, h) })
+			life := s.servers[h].life
+			s.add(s.chance()*1000, func(w Writer) { s.probe(w, h, life) })
 		}
 		s.planned = len(s.order)
 	}
@@ -138,8 +139,11 @@
 
 // probe examines a host, and again after a while that keeps the price of probes under a small part of the
 // result.
-func (s *Steward) probe(w Writer, h int) {
+func (s *Steward) probe(w Writer, h, life int) {
 	v := &s.servers[h]
+	if v.life != life { // forgotten meanwhile: its index may be another host's
+		return
+	}
 	if v.phase == Ready && !v.probing {
 		v.probing = true
 		w.Probe(h)
@@ -152,7 +156,7 @@
 		every = float64(len(s.order)*s.fleet.Instances) * s.goal.ProbePrice / (probePart * total) * 1000
 		every = math.Min(math.Max(every, 500), 4000)
 	}
-	s.add(every, func(w Writer) { s.probe(w, h) })
+	s.add(every, func(w Writer) { s.probe(w, h, life) })
 }
 
 // follow keeps the subscription where the list must be asked. A failed call is repeated after a wait that
@@ -391,6 +395,14 @@
 		failing, n, s.fulfilled, s.keep, rest))
 }
 
+// rest takes all proxies off their tables; join gives them others.
+func (s *Steward) rest(on bool) {
+	s.resting = on
+	for i := range s.proxies {
+		s.proxies[i].bound, s.proxies[i].own = false, false
+	}
+}
+
 // judge withdraws servers on proof, by symptom, and lets them return by trial. Proof is absence, or silence
 // while no try is fulfilled there, alone or with its zone. It must not take a busy server for a silent one:
 // many silent, or a fleet that fails, prove nothing. What is left must carry the joined proxies' traffic.
@@ -451,6 +463,19 @@
 	clear(s.zoneBack)
 }
 
+// serving servers take part in moves: ready, in the tables with their full weight, and warm.
+func (s *Steward) serving(v *server) bool {
+	return v.phase == Ready && !v.out && s.part(v) >= 1 && s.warmth(v, s.guard) >= 1
+}
+
+// warmth is the least part of its capacity that a server has after its start.
+func (s *Steward) warmth(v *server, g Guard) float64 {
+	if v.started < 0 || s.now >= v.started+g.Cold {
+		return 1
+	}
+	return g.ColdFrom + (1-g.ColdFrom)*math.Max(s.now-v.started, 0)/g.Cold
+}
+
 // part is what a server gets of its weight on trial, doubling each step.
 func (s *Steward) part(v *server) float64 {
 	return math.Min(1, trialPart*math.Exp2(math.Floor((s.now-v.back)/trialStep)))
@@ -685,6 +710,11 @@
 	}
 }
 
+// may tells whether a proxy that was sent so many messages may be sent one more within a part of the cap.
+func (c Channel) may(sent int, part float64) bool {
+	return c.MessagesMost == 0 || float64(sent+2) <= part*float64(c.MessagesMost)
+}
+
 // tooLate tells whether so many lines take too long to keep the grace for drains.
 func (s *Steward) tooLate(lines float64, c Channel) bool {
 	return lines/(c.LinesPerS*slowest)*1000 > s.guard.Grace*inTime
--- a/decide/state.go
+++ b/decide/state.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -36,6 +37,7 @@
 	out             bool    // withdrawn
 	back            float64 // when it returned on trial
 	won, lost       float64 // faded fast: tries fulfilled and failed, also while a move has yet to show
+	life            int     // counts the hosts that had this index
 }
 
 type proxy struct {
@@ -215,6 +217,41 @@
 	b.queue += lines
 }
 
+// Forget drops what is kept of a host that is gone, so that its index may be given to another. It answers
+// false, and keeps all, while a table or a probe still names the host.
+func (s *Steward) Forget(host int) bool {
+	if host >= len(s.servers) {
+		return true
+	}
+	v := &s.servers[host]
+	if v.phase != Gone || v.told != 0 || v.probing {
+		return false
+	}
+	for i := range s.proxies {
+		if slices.Contains(s.proxies[i].hand, host) {
+			return false
+		}
+	}
+	if at := slices.Index(s.order, host); at >= 0 {
+		s.order = slices.Delete(s.order, at, at+1)
+		if at < s.planned {
+			s.planned--
+		}
+	}
+	*v = server{started: -1, back: longAgo, load: NoLoad, life: v.life + 1}
+	return true
+}
+
+// ForgetProxy drops the table of a proxy that has left; the caller drops its lines too.
+func (s *Steward) ForgetProxy(p int) {
+	if p < len(s.proxies) && !s.proxies[p].joined {
+		s.proxies[p].hand = nil
+	}
+}
+
+// OwnTable is the number of the table that a proxy may be given for itself.
+func (s *Steward) OwnTable(p int) int { return s.own(p) }
+
 // chance gives the next figure from 0 to 1.
 func (s *Steward) chance() float64 {
 	s.counter++
@@ -241,14 +278,6 @@
 // own is the number of a proxy's own table.
 func (s *Steward) own(p int) int { return 1 + s.fleet.Zones + p }
 
-// rest takes all proxies off their tables; join gives them others.
-func (s *Steward) rest(on bool) {
-	s.resting = on
-	for i := range s.proxies {
-		s.proxies[i].bound, s.proxies[i].own = false, false
-	}
-}
-
 // tally counts the proxies that are bound and those that wait, and for each server the proxies that hold it
 // and the traffic that hands bring it. It gives the most messages that one proxy was sent lately, and the
 // traffic for each part of weight, too.
@@ -294,21 +323,3 @@
 	v           *server
 	excess, can float64
 }
-
-// may tells whether a proxy that was sent so many messages may be sent one more within a part of the cap.
-func (c Channel) may(sent int, part float64) bool {
-	return c.MessagesMost == 0 || float64(sent+2) <= part*float64(c.MessagesMost)
-}
-
-// serving servers take part in moves: ready, in the tables with their full weight, and warm.
-func (s *Steward) serving(v *server) bool {
-	return v.phase == Ready && !v.out && s.part(v) >= 1 && s.warmth(v, s.guard) >= 1
-}
-
-// warmth is the least part of its capacity that a server has after its start.
-func (s *Steward) warmth(v *server, g Guard) float64 {
-	if v.started < 0 || s.now >= v.started+g.Cold {
-		return 1
-	}
-	return g.ColdFrom + (1-g.ColdFrom)*math.Max(s.now-v.started, 0)/g.Cold
-}
