--- /dev/null
+++ b/cmd/barleysail/main.go
@@ -0,0 +1,24 @@
+// Command barleysail is the steward as a daemon, and the operators' command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// version of the program.
+const version = "0.1.0"
+
+func main() {
+	root := &cobra.Command{Use: "barleysail", Short: "A control service that publishes weighted tables to plain proxies",
+		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true}}
+	root.AddCommand(runCommand(), configCommand(), &cobra.Command{Use: "version", Short: "Print the version",
+		Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "barleysail", version) }})
+	if err := root.ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "barleysail:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,245 @@
+// Package config reads a steward's configuration and host list, protobuf text format by configpb, and says of
+// each fault the file, the line and the field.
+package config
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+
+	"google.golang.org/protobuf/encoding/prototext"
+	"google.golang.org/protobuf/proto"
+
+	"barleysail/decide"
+	"barleysail/internal/config/configpb"
+	"barleysail/steward"
+)
+
+// Defaults are the figures of all fields that may be left out; config.proto states them.
+func Defaults() *configpb.Config {
+	p, i := proto.Float64, proto.Int32
+	return &configpb.Config{Listen: "127.0.0.1:7070",
+		Fleet: &configpb.Fleet{Stewards: i(1), Proxies: i(8), PeriodMs: p(1000), Ejects: i(0), UsualTries: i(1),
+			Admits: proto.Bool(true)},
+		Channel: &configpb.Channel{LinesPerS: p(7000), HeadLines: p(6), MostWaiting: p(7000), LateMs: p(20),
+			Price: p(0.02), MessagesMost: i(20), MessagesOverMs: p(10000)},
+		Guard: &configpb.Guard{BareMs: p(5000), GraceMs: p(3000), ColdFrom: p(0.15), ColdMs: p(18000), FallMultiple: p(4)},
+		Goal:  &configpb.Goal{Whole: p(0.75), WorstClass: p(0.1), ProbePrice: p(0.02)},
+		Polls: &configpb.Polls{StepMs: p(10), WaitMostMs: p(60000), FirstWaitMs: p(300), LeaveAfterMs: p(5000),
+			ForgetAfterMs: p(600000), History: i(32)},
+		List:   &configpb.List{WaitMs: p(30000)},
+		Probes: &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
+		Server: &configpb.Server{Connections: i(20000), BodyBytes: i(4 << 20), IdleMs: p(120000), HeaderMs: p(10000),
+			BodyMs: p(20000), WriteMs: p(10000)},
+	}
+}
+
+// Load reads a configuration; a list file is named beside it.
+func Load(file string) (*configpb.Config, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	c, err := Parse(file, text)
+	if err == nil && c.List.File != "" && !filepath.IsAbs(c.List.File) {
+		c.List.File = filepath.Join(filepath.Dir(file), c.List.File)
+	}
+	return c, err
+}
+
+// Parse reads a configuration, fills in the defaults and checks it.
+func Parse(file string, text []byte) (*configpb.Config, error) {
+	set := &configpb.Config{}
+	if err := prototext.Unmarshal(text, set); err != nil {
+		return nil, wrong(file, err)
+	}
+	c := Defaults()
+	proto.Merge(c, set)
+	f := fields{file: file, at: locate(text)}
+	f.check(c)
+	return c, f.err
+}
+
+var place = regexp.MustCompile(`^proto:\s*(?:syntax error )?\(line (\d+):(\d+)\): (.*)$`)
+
+// wrong words a fault of the text format with file and line.
+func wrong(file string, err error) error {
+	if m := place.FindStringSubmatch(err.Error()); m != nil {
+		return fmt.Errorf("%s:%s:%s: %s", file, m[1], m[2], m[3])
+	}
+	return fmt.Errorf("%s: %w", file, err)
+}
+
+// fields notes the first fault.
+type fields struct {
+	file string
+	at   map[string]int
+	err  error
+}
+
+func (f *fields) fail(field, format string, args ...any) {
+	if f.err == nil {
+		f.err = fmt.Errorf("%s:%d: %s: %s", f.file, lineOf(f.at, field), field, fmt.Sprintf(format, args...))
+	}
+}
+
+func (f *fields) within(field string, x, least, most float64) {
+	if !(x >= least && x <= most) || math.IsInf(x, 0) {
+		f.fail(field, "%g is not from %g to %g", x, least, most)
+	}
+}
+
+func (f *fields) whole(field string, x int32, least, most int32) {
+	f.within(field, float64(x), float64(least), float64(most))
+}
+
+var word = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$`)
+
+func (f *fields) names(field string, names []string, most int) {
+	if len(names) == 0 || len(names) > most {
+		f.fail(field, "%d are given, 1 to %d are needed", len(names), most)
+	}
+	for i, n := range names {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		if !word.MatchString(n) {
+			f.fail(at, "%q is no name", n)
+		}
+		for _, other := range names[:i] {
+			if other == n {
+				f.fail(at, "%q stands there twice", n)
+			}
+		}
+	}
+}
+
+const hour = 3600e3
+
+func (f *fields) check(c *configpb.Config) {
+	f.names("zones", c.Zones, 64)
+	if len(c.Classes) == 0 || len(c.Classes) > 60 {
+		f.fail("classes", "%d are given, 1 to 60 are needed", len(c.Classes))
+	}
+	for i, k := range c.Classes {
+		at := fmt.Sprintf("classes[%d]", i)
+		if !word.MatchString(k.Name) {
+			f.fail(at+".name", "%q is no name", k.Name)
+		}
+		for _, other := range c.Classes[:i] {
+			if other.Name == k.Name {
+				f.fail(at+".name", "%q stands there twice", k.Name)
+			}
+		}
+		if k.DueMs == nil {
+			f.fail(at+".due_ms", "is missing")
+		}
+		if k.PatienceMs == nil {
+			f.fail(at+".patience_ms", "is missing")
+		}
+		if k.Earnings == nil {
+			k.Earnings = proto.Float64(1)
+		}
+		f.within(at+".due_ms", k.GetDueMs(), 1, hour)
+		f.within(at+".patience_ms", k.GetPatienceMs(), 1, hour)
+		f.within(at+".earnings", *k.Earnings, 0, 1e9)
+	}
+	f.whole("fleet.stewards", *c.Fleet.Stewards, 1, 10000)
+	f.whole("fleet.proxies", *c.Fleet.Proxies, 1, 1000000)
+	f.within("fleet.period_ms", *c.Fleet.PeriodMs, 10, hour)
+	f.whole("fleet.ejects", *c.Fleet.Ejects, 0, 1000)
+	f.whole("fleet.usual_tries", *c.Fleet.UsualTries, 0, 3)
+	f.within("channel.lines_per_s", *c.Channel.LinesPerS, 1, 1e9)
+	f.within("channel.head_lines", *c.Channel.HeadLines, 0, 1e6)
+	f.within("channel.most_waiting", *c.Channel.MostWaiting, 1, 1e9)
+	f.within("channel.late_ms", *c.Channel.LateMs, 0, hour)
+	f.within("channel.price", *c.Channel.Price, 0, 1)
+	f.whole("channel.messages_most", *c.Channel.MessagesMost, 0, 1e6)
+	f.within("channel.messages_over_ms", *c.Channel.MessagesOverMs, 1, hour)
+	f.within("guard.bare_ms", *c.Guard.BareMs, 1, hour)
+	f.within("guard.grace_ms", *c.Guard.GraceMs, 1, hour)
+	f.within("guard.cold_from", *c.Guard.ColdFrom, 0.001, 1)
+	f.within("guard.cold_ms", *c.Guard.ColdMs, 0, hour)
+	f.within("guard.fall_multiple", *c.Guard.FallMultiple, 0.1, 1000)
+	f.within("goal.whole", *c.Goal.Whole, 0, 1)
+	f.within("goal.worst_class", *c.Goal.WorstClass, 0, 1)
+	f.within("goal.probe_price", *c.Goal.ProbePrice, 0, 1)
+	f.within("polls.step_ms", *c.Polls.StepMs, 1, 1000)
+	f.within("polls.wait_most_ms", *c.Polls.WaitMostMs, 1, hour)
+	f.within("polls.first_wait_ms", *c.Polls.FirstWaitMs, 0, hour)
+	f.within("polls.leave_after_ms", *c.Polls.LeaveAfterMs, 1, hour)
+	f.within("polls.forget_after_ms", *c.Polls.ForgetAfterMs, 1, 1000*hour)
+	f.whole("polls.history", *c.Polls.History, 1, 1000)
+	if (c.List.File == "") == (c.List.Url == "") {
+		f.fail("list", "a file or a url is needed, not both")
+	}
+	f.within("list.wait_ms", *c.List.WaitMs, 100, hour)
+	if c.Probes.Path[0] != '/' {
+		f.fail("probes.path", "%q does not begin with /", c.Probes.Path)
+	}
+	f.within("probes.timeout_ms", *c.Probes.TimeoutMs, 1, 60000)
+	f.whole("probes.at_once", *c.Probes.AtOnce, 1, 10000)
+	f.whole("server.connections", *c.Server.Connections, 1, 1000000)
+	f.whole("server.body_bytes", *c.Server.BodyBytes, 1024, 1<<30)
+	for name, x := range map[string]*float64{"idle_ms": c.Server.IdleMs, "header_ms": c.Server.HeaderMs,
+		"body_ms": c.Server.BodyMs, "write_ms": c.Server.WriteMs} {
+		f.within("server."+name, *x, 1, hour)
+	}
+}
+
+// Hosts reads a list file's text. Zones are checked by the steward, which names the entry.
+func Hosts(file string, text []byte) ([]steward.Entry, error) {
+	l := &configpb.HostList{}
+	if err := prototext.Unmarshal(text, l); err != nil {
+		return nil, wrong(file, err)
+	}
+	f := fields{file: file, at: locate(text)}
+	entries := make([]steward.Entry, 0, len(l.Hosts))
+	for i, h := range l.Hosts {
+		at := "hosts[" + strconv.Itoa(i) + "]"
+		if h.Address == "" {
+			f.fail(at+".address", "is missing")
+		} else if err := steward.CheckAddress(h.Address); err != nil {
+			f.fail(at+".address", "%v", err)
+		}
+		if h.Zone == "" {
+			f.fail(at+".zone", "is missing")
+		}
+		weight := 1.0
+		if h.Weight != nil {
+			weight = *h.Weight
+		}
+		f.within(at+".weight", weight, 0, 1e6)
+		f.within(at+".started_unix_ms", h.StartedUnixMs, 0, 1e15)
+		phase := decide.Ready
+		if h.Phase == configpb.Phase_DRAINING {
+			phase = decide.Draining
+		}
+		entries = append(entries, steward.Entry{Host: h.Address, Zone: h.Zone, Phase: phase, Weight: weight,
+			Started: h.StartedUnixMs})
+	}
+	return entries, f.err
+}
+
+// Steward makes the steward that a checked configuration describes.
+func Steward(c *configpb.Config, life string, seed uint64) *steward.Steward {
+	var classes []steward.Class
+	for _, k := range c.Classes {
+		classes = append(classes, steward.Class{Name: k.Name, Class: decide.Class{Due: *k.DueMs, Patience: *k.PatienceMs,
+			Earnings: *k.Earnings, Local: k.Local}})
+	}
+	return steward.New(
+		steward.Fleet{Life: life, Seed: seed, Zones: c.Zones, Instances: int(*c.Fleet.Stewards),
+			Proxies: int(*c.Fleet.Proxies), Period: *c.Fleet.PeriodMs, Ejects: int(*c.Fleet.Ejects),
+			UsualTries: int(*c.Fleet.UsualTries), Admits: *c.Fleet.Admits, MayProbe: *c.Probes.On, MustAsk: c.List.Url != ""},
+		classes,
+		decide.Channel{LinesPerS: *c.Channel.LinesPerS, Head: *c.Channel.HeadLines, MostWaiting: *c.Channel.MostWaiting,
+			Late: *c.Channel.LateMs, Price: *c.Channel.Price, MessagesMost: int(*c.Channel.MessagesMost),
+			MessagesOver: *c.Channel.MessagesOverMs},
+		decide.Guard{Bare: *c.Guard.BareMs, Grace: *c.Guard.GraceMs, ColdFrom: *c.Guard.ColdFrom, Cold: *c.Guard.ColdMs,
+			FallMultiple: *c.Guard.FallMultiple},
+		decide.Goal{Whole: *c.Goal.Whole, WorstClass: *c.Goal.WorstClass, ProbePrice: *c.Goal.ProbePrice},
+		steward.Polls{Step: *c.Polls.StepMs, WaitMost: *c.Polls.WaitMostMs, FirstWait: *c.Polls.FirstWaitMs,
+			LeaveAfter: *c.Polls.LeaveAfterMs, ForgetAfter: *c.Polls.ForgetAfterMs, History: int(*c.Polls.History)})
+}
--- /dev/null
+++ b/internal/daemon/api.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"barleysail/decide"
+	"barleysail/internal/http1"
+	"barleysail/steward"
+)
+
+var errStopping = errors.New("the steward is stopping")
+
+// api is the front for proxies: long polls with deltas. It turns requests into calls and answers into replies.
+type api struct {
+	core    *core
+	version string
+}
+
+func (a *api) mux() *http1.Mux {
+	m := &http1.Mux{}
+	m.Handle("GET", "/v1/proxies/{proxy}/tables", http1.Route{Serve: a.tables})
+	m.Handle("DELETE", "/v1/proxies/{proxy}", http1.Route{Serve: a.leave})
+	m.Handle("POST", "/v1/proxies/{proxy}/sums", http1.Route{Serve: a.sums, Media: []string{"application/json"}})
+	m.Handle("GET", "/v1/status", http1.Route{Serve: a.status})
+	return m
+}
+
+// fail words an error of the steward.
+func fail(err error) http1.Reply {
+	var field *steward.FieldError
+	switch {
+	case errors.As(err, &field):
+		return http1.Problem{Status: 422, Detail: field.Reason, Field: field.Field}.Reply()
+	case errors.Is(err, steward.ErrNotJoined):
+		return http1.Problem{Status: 409, Detail: err.Error()}.Reply()
+	case errors.Is(err, errStopping):
+		return http1.Problem{Status: 503, Detail: err.Error()}.Reply("Retry-After", "1")
+	}
+	return http1.Problem{Status: 500, Detail: err.Error()}.Reply()
+}
+
+func (a *api) tables(q *http1.Request) http1.Reply {
+	ask := steward.Query{Proxy: q.Params["proxy"], Zone: q.Query.Get("zone"), Wait: -1,
+		Delta: accepts(q.Header, "merge-patch")}
+	ask.Tags, ask.Any = entityTags(q.Header)
+	seconds, preferred := wait(q.Header)
+	if preferred {
+		ask.Wait = seconds * 1000
+	}
+	if text := q.Query.Get("rate"); text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fail(&steward.FieldError{Field: "rate", Reason: fmt.Sprintf("%.40q is no number", text)})
+		}
+		ask.Rate = rate
+	}
+	id := int64(0)
+	held := q.Hold(func() { a.core.pollGone(ask.Proxy, id) })
+	id, err := a.core.poll(ask, func(s steward.Answer) { held.Answer(reply(s, seconds, preferred)) })
+	if err != nil {
+		return fail(err)
+	}
+	return http1.Reply{Held: held}
+}
+
+// reply makes an answer of the steward a reply, by RFC 9110 (304, ETag), 3229 (226, IM, Delta-Base) and 7240.
+func reply(s steward.Answer, seconds float64, preferred bool) http1.Reply {
+	h := http1.Header("Etag", `"`+s.Tag+`"`, "Cache-Control", "no-store", "Vary", "A-IM, Prefer")
+	if preferred {
+		h.Set("Preference-Applied", "wait="+strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	r := http1.Reply{Status: 200, Header: h, Body: s.Body()}
+	switch s.Kind {
+	case steward.Same:
+		r.Status = 304
+	case steward.Delta:
+		r.Status = 226
+		h["IM"] = []string{"merge-patch"}
+		h.Set("Delta-Base", `"`+s.Base+`"`)
+		h.Set("Content-Type", "application/merge-patch+json")
+	default:
+		h.Set("Content-Type", "application/json")
+	}
+	return r
+}
+
+func (a *api) leave(q *http1.Request) http1.Reply {
+	if !a.core.leave(q.Params["proxy"]) {
+		return http1.Problem{Status: 404, Detail: "the proxy has not joined"}.Reply()
+	}
+	return http1.Reply{Status: 204}
+}
+
+// sumsBody is what a proxy posts. Times are milliseconds.
+type sumsBody struct {
+	Sender string `json:"sender"`
+	Number int64  `json:"number"`
+	Hosts  map[string]struct {
+		Tries  int       `json:"tries"`
+		Failed int       `json:"failed"`
+		Mean   float64   `json:"mean"`
+		Span   float64   `json:"span"`
+		Load   *loadBody `json:"load"`
+	} `json:"hosts"`
+	Usage map[string]struct {
+		Came       int     `json:"came"`
+		Unanswered int     `json:"unanswered"`
+		Span       float64 `json:"span"`
+	} `json:"usage"`
+}
+
+type loadBody struct {
+	Util  *float64 `json:"util"`
+	Rate  *float64 `json:"rate"`
+	Queue *float64 `json:"queue"`
+}
+
+func (l *loadBody) load() decide.Load {
+	load := decide.NoLoad
+	if l == nil {
+		return load
+	}
+	for _, f := range []struct {
+		from *float64
+		to   *float64
+	}{{l.Util, &load.Util}, {l.Rate, &load.Rate}, {l.Queue, &load.Queue}} {
+		if f.from != nil {
+			*f.to = *f.from
+			if *f.from < 0 {
+				*f.to = math.NaN() // reported, but nonsense: refused with the field's name
+			}
+		}
+	}
+	return load
+}
+
+func (a *api) sums(q *http1.Request) http1.Reply {
+	var b sumsBody
+	d := json.NewDecoder(bytes.NewReader(q.Body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&b); err != nil {
+		return malformed(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return http1.Problem{Status: 400, Detail: "something follows the JSON value"}.Reply()
+	}
+	u := steward.Sums{Sender: b.Sender, Number: b.Number, Hosts: map[string]steward.HostSums{},
+		Usage: map[string]steward.ClassUsage{}}
+	for host, v := range b.Hosts {
+		u.Hosts[host] = steward.HostSums{Tries: v.Tries, Failed: v.Failed, Mean: v.Mean, Span: v.Span, Load: v.Load.load()}
+	}
+	for class, v := range b.Usage {
+		u.Usage[class] = steward.ClassUsage{Came: v.Came, Unanswered: v.Unanswered, Span: v.Span}
+	}
+	counted, err := a.core.sums(q.Params["proxy"], u)
+	if err != nil {
+		return fail(err)
+	}
+	return jsonReply(map[string]any{"number": u.Number, "counted": counted})
+}
+
+// malformed words what is wrong with a JSON body, with the field where it is known.
+func malformed(err error) http1.Reply {
+	p := http1.Problem{Status: 400, Detail: err.Error()}
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		p.Status, p.Field, p.Detail = 422, kind.Field, "cannot be "+kind.Value
+	} else if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		p.Status, p.Field, p.Detail = 422, strings.Trim(name, `"`), "the field is not known"
+	}
+	return p.Reply()
+}
+
+func (a *api) status(*http1.Request) http1.Reply {
+	return jsonReply(struct {
+		Version string `json:"version"`
+		steward.Status
+	}{a.version, a.core.status()})
+}
+
+func jsonReply(v any) http1.Reply {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return fail(err)
+	}
+	return http1.Reply{Status: 200, Header: http1.Header("Content-Type", "application/json", "Cache-Control", "no-store"),
+		Body: append(body, '\n')}
+}
+
+// entityTags reads If-None-Match (RFC 9110, 13.1.2): tags without quotes, weak ones too; any for *.
+func entityTags(h textproto.MIMEHeader) (tags []string, any bool) {
+	for _, v := range h.Values("If-None-Match") {
+		if v = textproto.TrimString(v); v == "*" {
+			return nil, true
+		}
+		for v != "" {
+			v = strings.TrimLeft(v, ", \t")
+			v = strings.TrimPrefix(v, "W/")
+			if len(v) < 2 || v[0] != '"' {
+				break
+			}
+			end := strings.IndexByte(v[1:], '"')
+			if end < 0 {
+				break
+			}
+			tags = append(tags, v[1:1+end])
+			v = v[end+2:]
+		}
+	}
+	return tags, false
+}
+
+// wait reads the preference wait=N, whole seconds; the first one counts (RFC 7240, 2 and 4.3).
+func wait(h textproto.MIMEHeader) (seconds float64, ok bool) {
+	for _, v := range h.Values("Prefer") {
+		for _, p := range strings.Split(v, ",") {
+			p, _, _ = strings.Cut(p, ";")
+			name, value, _ := strings.Cut(p, "=")
+			if !strings.EqualFold(textproto.TrimString(name), "wait") {
+				continue
+			}
+			n, err := strconv.ParseUint(strings.Trim(textproto.TrimString(value), `"`), 10, 31)
+			return float64(n), err == nil
+		}
+	}
+	return 0, false
+}
+
+// accepts tells whether A-IM names an instance manipulation, not with q=0 (RFC 3229, 10.5.3).
+func accepts(h textproto.MIMEHeader, manipulation string) bool {
+	for _, v := range h.Values("A-Im") {
+		for _, m := range strings.Split(v, ",") {
+			name, params, _ := strings.Cut(m, ";")
+			if !strings.EqualFold(textproto.TrimString(name), manipulation) {
+				continue
+			}
+			if _, q, ok := strings.Cut(params, "q="); ok {
+				weight, err := strconv.ParseFloat(textproto.TrimString(q), 64)
+				return err == nil && weight > 0
+			}
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/daemon/core.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"barleysail/decide"
+	"barleysail/internal/record"
+	"barleysail/internal/record/recordpb"
+	"barleysail/steward"
+)
+
+// clock gives milliseconds since 1970 that only advance: the wall clock at the start, and what passed since.
+type clock struct {
+	wall  float64
+	start time.Time
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{float64(now.UnixMicro()) / 1000, now}
+}
+
+func (c clock) now() float64 { return c.wall + float64(time.Since(c.start).Microseconds())/1000 }
+
+// core calls the steward under a lock, at the clock's time, and carries out what it wants after the lock is
+// given up. It has the one timer of the instance. It adds no decision.
+type core struct {
+	clock clock
+	log   zerolog.Logger
+	probe func(host string)
+	watch func()
+
+	mu      sync.Mutex
+	steward *steward.Steward
+	last    float64
+	timer   *time.Timer
+	stopped bool
+	rec     *record.Writer
+	recFail bool
+	polls   int64
+	waiting map[int64]func(steward.Answer)
+
+	outs // of the present call
+}
+
+// outs is what the steward wants done.
+type outs struct {
+	answers []answered
+	probes  []string
+	watches int
+	lines   []string
+}
+
+type answered struct {
+	to func(steward.Answer)
+	a  steward.Answer
+}
+
+func newCore(s *steward.Steward, log zerolog.Logger, rec *record.Writer) *core {
+	c := &core{clock: newClock(), log: log, steward: s, rec: rec, waiting: map[int64]func(steward.Answer){}}
+	c.timer = time.AfterFunc(time.Hour, func() { c.do(func(float64) {}) })
+	return c
+}
+
+// The steward.Out of the present call.
+
+func (c *core) Answer(poll int64, a steward.Answer) {
+	if c.rec != nil {
+		c.write(record.Published(c.last, poll, a))
+	}
+	if to := c.waiting[poll]; to != nil {
+		delete(c.waiting, poll)
+		c.answers = append(c.answers, answered{to, a})
+	}
+}
+func (c *core) Probe(host string) { c.probes = append(c.probes, host) }
+func (c *core) Watch()            { c.watches++ }
+func (c *core) Log(text string)   { c.lines = append(c.lines, text) }
+
+// write records; a recording that fails costs the recording, never a decision.
+func (c *core) write(r *recordpb.Record) {
+	if err := c.rec.Write(r); err != nil && !c.recFail {
+		c.recFail = true
+		c.log.Error().Err(err).Msg("the recording ends here")
+	}
+}
+
+// do calls f under the lock, does what is due, and then carries out what came of it.
+func (c *core) do(f func(now float64)) {
+	c.mu.Lock()
+	if c.stopped {
+		c.mu.Unlock()
+		return
+	}
+	now := math.Max(c.clock.now(), c.last)
+	c.last = now
+	f(now)
+	if c.steward.Next() <= now {
+		if c.rec != nil {
+			c.write(record.Advance(now))
+		}
+		c.steward.Advance(now, c)
+	}
+	if wait := c.steward.Next() - now; !math.IsInf(wait, 1) {
+		c.timer.Reset(time.Duration(math.Max(wait, 0.2) * float64(time.Millisecond)))
+	}
+	todo := c.outs
+	c.outs = outs{}
+	c.mu.Unlock()
+	for _, line := range todo.lines {
+		c.log.Info().Msg(line)
+	}
+	for _, x := range todo.answers {
+		x.to(x.a)
+	}
+	for _, host := range todo.probes {
+		c.probe(host)
+	}
+	for range todo.watches {
+		c.watch()
+	}
+}
+
+// input records an input where recordings are made, and calls f with it.
+func (c *core) input(make func(now float64) *recordpb.Record, f func(now float64)) {
+	c.do(func(now float64) {
+		if c.rec != nil {
+			c.write(make(now))
+		}
+		f(now)
+	})
+}
+
+func (c *core) listed(entries []steward.Entry) (err error) {
+	c.input(func(now float64) *recordpb.Record { return record.Listed(now, entries) },
+		func(now float64) { err = c.steward.Listed(now, entries) })
+	return err
+}
+
+func (c *core) listFailed() {
+	c.input(record.ListFailed, c.steward.ListFailed)
+}
+
+func (c *core) probed(host string, how decide.Outcome, load decide.Load) {
+	c.input(func(now float64) *recordpb.Record { return record.Probed(now, host, how, load) },
+		func(now float64) { c.steward.Probed(now, host, how, load) })
+}
+
+// poll has to called once with the answer, unless it gives an error. It gives the poll's id.
+func (c *core) poll(q steward.Query, to func(steward.Answer)) (id int64, err error) {
+	err = errStopping
+	c.do(func(now float64) {
+		c.polls++
+		id = c.polls
+		c.waiting[id] = to
+		if c.rec != nil {
+			c.write(record.Poll(now, id, q))
+		}
+		if err = c.steward.Poll(now, id, q, c); err != nil {
+			delete(c.waiting, id)
+		}
+	})
+	return id, err
+}
+
+func (c *core) pollGone(proxy string, id int64) {
+	c.input(func(now float64) *recordpb.Record { return record.PollGone(now, proxy, id) },
+		func(now float64) {
+			delete(c.waiting, id)
+			c.steward.PollGone(now, proxy, id)
+		})
+}
+
+func (c *core) leave(proxy string) (joined bool) {
+	c.input(func(now float64) *recordpb.Record { return record.Leave(now, proxy) },
+		func(now float64) { joined = c.steward.Leave(now, proxy, c) })
+	return joined
+}
+
+func (c *core) sums(proxy string, u steward.Sums) (counted bool, err error) {
+	err = errStopping
+	c.input(func(now float64) *recordpb.Record { return record.Sums(now, proxy, u) },
+		func(now float64) { counted, err = c.steward.Sums(now, proxy, u) })
+	return counted, err
+}
+
+func (c *core) status() (st steward.Status) {
+	c.do(func(now float64) { st = c.steward.Status(now) })
+	return st
+}
+
+// stop ends all calls; with release the polls that are held are answered first.
+func (c *core) stop(release bool) {
+	if release {
+		c.do(func(now float64) { c.steward.Release(now, c) })
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	c.timer.Stop()
+	if c.rec != nil && release {
+		c.rec.Flush()
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,150 @@
+// Package daemon puts a steward on sockets: the HTTP front, the host list, probes, the clock, logs and the
+// recording. All decisions come from packages steward and decide.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"barleysail/internal/config"
+	"barleysail/internal/config/configpb"
+	"barleysail/internal/http1"
+	"barleysail/internal/record"
+	"barleysail/internal/record/recordpb"
+)
+
+// Daemon is a running steward.
+type Daemon struct {
+	core     *core
+	server   *http1.Server
+	listener net.Listener
+	cancel   context.CancelFunc
+	record   *os.File
+	clients  []*http1.Client
+}
+
+// Start starts a steward by a checked configuration.
+func Start(c *configpb.Config, version string, log zerolog.Logger) (d *Daemon, err error) {
+	var random [16]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return nil, fmt.Errorf("drawing a name for this life: %w", err)
+	}
+	life, seed := hex.EncodeToString(random[:6]), c.Seed
+	if seed == 0 {
+		seed = binary.LittleEndian.Uint64(random[8:])
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d = &Daemon{cancel: cancel}
+	defer func() {
+		if err != nil {
+			d.close()
+		}
+	}()
+	var rec *record.Writer
+	if c.Record != "" {
+		if d.record, err = os.Create(c.Record); err != nil {
+			return nil, fmt.Errorf("starting the recording: %w", err)
+		}
+		rec = record.NewWriter(d.record)
+	}
+	if d.listener, err = net.Listen("tcp", c.Listen); err != nil {
+		return nil, fmt.Errorf("listening for proxies: %w", err)
+	}
+	d.core = newCore(config.Steward(c, life, seed), log, rec)
+	if rec != nil {
+		text, _ := prototext.MarshalOptions{Multiline: true}.Marshal(c)
+		d.core.write(&recordpb.Record{At: d.core.clock.now(), What: &recordpb.Record_Start{Start: &recordpb.Start{
+			Format: record.Format, Program: version, Config: string(text), Life: life, Seed: seed}}})
+	}
+	probes := &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 64 << 10}, Idle: 1024}
+	d.clients = append(d.clients, probes)
+	p := &prober{client: probes, path: c.Probes.Path, timeout: ms(*c.Probes.TimeoutMs),
+		slots: make(chan struct{}, *c.Probes.AtOnce), ctx: ctx, done: d.core.probed}
+	d.core.probe = p.probe
+	if err := d.follow(ctx, c, log); err != nil {
+		return nil, err
+	}
+	a := &api{core: d.core, version: version}
+	d.server = http1.NewServer(a.mux(), http1.Config{Limits: http1.Limits{Body: int64(*c.Server.BodyBytes)},
+		Header: ms(*c.Server.HeaderMs), Body: ms(*c.Server.BodyMs), Idle: ms(*c.Server.IdleMs),
+		Write: ms(*c.Server.WriteMs), Conns: int(*c.Server.Connections)})
+	go func() {
+		if err := d.server.Serve(d.listener); err != nil {
+			log.Error().Err(err).Msg("no more connections are taken")
+		}
+	}()
+	d.core.do(func(float64) {})
+	log.Info().Str("listen", d.Addr()).Str("life", life).Str("version", version).Msg("steward started")
+	return d, nil
+}
+
+func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
+// follow takes up the host list.
+func (d *Daemon) follow(ctx context.Context, c *configpb.Config, log zerolog.Logger) error {
+	if c.List.File != "" {
+		d.core.watch = func() {}
+		l := &listFile{file: c.List.File, log: log, take: d.core.listed}
+		if err := l.read(); err != nil {
+			return err
+		}
+		go l.follow(ctx)
+		return nil
+	}
+	l, err := newListService(c.List.Url, ms(*c.List.WaitMs))
+	if err != nil {
+		return err
+	}
+	l.log, l.ctx, l.take, l.failed = log, ctx, d.core.listed, d.core.listFailed
+	d.clients = append(d.clients, l.client)
+	d.core.watch = l.watch
+	return nil
+}
+
+// Addr is the address at which proxies are served.
+func (d *Daemon) Addr() string { return d.listener.Addr().String() }
+
+// Stop answers the polls that are held, takes no more, and ends cleanly; when the context ends first,
+// connections are cut.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.listener.Close()
+	d.core.stop(true)
+	err := d.server.Shutdown(ctx)
+	d.close()
+	return err
+}
+
+// Kill ends at once, as the end of the process would: connections are cut and held polls get no answer.
+func (d *Daemon) Kill() {
+	d.listener.Close()
+	d.server.Cut()
+	d.core.stop(false)
+	d.close()
+}
+
+func (d *Daemon) close() {
+	d.cancel()
+	if d.listener != nil {
+		d.listener.Close()
+	}
+	for _, c := range d.clients {
+		c.Close()
+	}
+	if d.record != nil {
+		if d.core != nil {
+			d.core.mu.Lock()
+			d.core.rec.Flush()
+			d.core.mu.Unlock()
+		}
+		d.record.Close()
+	}
+}
--- /dev/null
+++ b/internal/daemon/listservice.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/rs/zerolog"
+
+	"barleysail/decide"
+	"barleysail/internal/http1"
+	"barleysail/steward"
+)
+
+// listService follows a host list by the protocol that proxies use: long polls with deltas onto entity tags.
+// The module says when to ask; after a failure it waits for the next such word.
+type listService struct {
+	address, target string
+	wait            time.Duration
+	client          *http1.Client
+	log             zerolog.Logger
+	ctx             context.Context
+	take            func([]steward.Entry) error
+	failed          func()
+
+	asking atomic.Bool
+	tag    string
+	doc    []byte
+}
+
+// listBody is the document: hosts by address.
+type listBody struct {
+	Hosts map[string]struct {
+		Zone    string   `json:"zone"`
+		Phase   string   `json:"phase"`
+		Weight  *float64 `json:"weight"`
+		Started float64  `json:"started"`
+	} `json:"hosts"`
+}
+
+func newListService(raw string, wait time.Duration) (*listService, error) {
+	u, err := url.Parse(raw)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("list.url: %q is no http URL", raw)
+	}
+	address := u.Host
+	if u.Port() == "" {
+		address += ":80"
+	}
+	return &listService{address: address, target: u.RequestURI(), wait: wait,
+		client: &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 64 << 20}}}, nil
+}
+
+// watch asks for the list and then for its changes until that fails.
+func (l *listService) watch() {
+	if !l.asking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		err := error(nil)
+		for err == nil {
+			err = l.ask()
+		}
+		l.asking.Store(false)
+		if l.ctx.Err() == nil {
+			l.log.Warn().Err(err).Msg("host list not to be had, the last one stands")
+			l.failed()
+		}
+	}()
+}
+
+func (l *listService) ask() error {
+	h := http1.Header("Accept", "application/json", "Prefer", "wait="+strconv.Itoa(int(l.wait.Seconds())))
+	h["A-IM"] = []string{"merge-patch"}
+	if l.tag != "" {
+		h.Set("If-None-Match", l.tag)
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, l.wait+10*time.Second)
+	defer cancel()
+	r, err := l.client.Call(ctx, "GET", l.address, l.target, h)
+	if err != nil {
+		return fmt.Errorf("asking for the list: %w", err)
+	}
+	doc := r.Body
+	switch r.Status {
+	case 304:
+		return nil
+	case 200:
+	case 226:
+		if base := r.Header.Get("Delta-Base"); l.tag == "" || base != l.tag || !strings.EqualFold(r.Header.Get("Im"), "merge-patch") {
+			l.tag = ""
+			return fmt.Errorf("a delta onto %s came, not onto what is held", base)
+		}
+		if doc, err = jsonpatch.MergePatch(l.doc, r.Body); err != nil {
+			l.tag = ""
+			return fmt.Errorf("applying a delta: %w", err)
+		}
+	default:
+		return fmt.Errorf("the list service answered %d", r.Status)
+	}
+	entries, err := parseList(doc)
+	if err == nil && len(entries) == 0 && l.tag != "" {
+		err = fmt.Errorf("no host is listed")
+	}
+	if err == nil {
+		err = l.take(entries)
+	}
+	if err != nil {
+		l.tag = "" // ask for the whole next time
+		return err
+	}
+	l.doc, l.tag = doc, r.Header.Get("Etag")
+	return nil
+}
+
+func parseList(doc []byte) ([]steward.Entry, error) {
+	var b listBody
+	if err := json.Unmarshal(doc, &b); err != nil {
+		return nil, fmt.Errorf("reading the list: %w", err)
+	}
+	if b.Hosts == nil {
+		return nil, fmt.Errorf(`reading the list: "hosts" is missing`)
+	}
+	entries := make([]steward.Entry, 0, len(b.Hosts))
+	for host, v := range b.Hosts {
+		e := steward.Entry{Host: host, Zone: v.Zone, Weight: 1, Started: v.Started}
+		switch v.Phase {
+		case "ready", "":
+			e.Phase = decide.Ready
+		case "draining":
+			e.Phase = decide.Draining
+		default:
+			return nil, fmt.Errorf("hosts[%q].phase: %q is neither ready nor draining", host, v.Phase)
+		}
+		if v.Weight != nil {
+			e.Weight = *v.Weight
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/internal/daemon/probes.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"barleysail/decide"
+	"barleysail/internal/http1"
+	"barleysail/internal/orca"
+)
+
+// prober examines hosts by GET, a bounded number at once.
+type prober struct {
+	client  *http1.Client
+	path    string
+	timeout time.Duration
+	slots   chan struct{}
+	ctx     context.Context
+	done    func(host string, how decide.Outcome, load decide.Load)
+}
+
+// probe starts a probe; its time runs from when it has a connection's slot.
+func (p *prober) probe(host string) {
+	go func() {
+		select {
+		case p.slots <- struct{}{}:
+		case <-p.ctx.Done():
+			return
+		}
+		ctx, cancel := context.WithTimeout(p.ctx, p.timeout)
+		r, err := p.client.Call(ctx, "GET", host, p.path, nil)
+		timedOut := ctx.Err() != nil
+		cancel()
+		<-p.slots
+		if p.ctx.Err() != nil {
+			return
+		}
+		load := decide.NoLoad
+		if err == nil {
+			load = orca.Parse(r.Header.Get(orca.Field))
+		}
+		p.done(host, outcome(r, err, timedOut), load)
+	}()
+}
+
+// outcome tells what a probe shows: an answer, a refusal, no answer in time, or nothing at all there.
+func outcome(r *http1.Response, err error, timedOut bool) decide.Outcome {
+	var timeout net.Error
+	switch {
+	case err == nil && r.Status >= 200 && r.Status < 300:
+		return decide.Fine
+	case err == nil:
+		return decide.Refused
+	case timedOut || errors.As(err, &timeout) && timeout.Timeout():
+		return decide.Silent
+	}
+	return decide.Unreachable
+}
--- /dev/null
+++ b/internal/http1/server.go
@@ -0,0 +1,354 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+func unescape(s string) (string, error) { return url.PathUnescape(s) }
+
+// Config of a Server. A zero value takes the default that stands beside it.
+type Config struct {
+	Limits
+	Header time.Duration // for the rest of a header once it has begun: 10 s
+	Body   time.Duration // for a body: 20 s
+	Idle   time.Duration // between requests: 2 min
+	Write  time.Duration // for a reply: 10 s
+	Conns  int           // open at once: 20,000
+	Now    func() time.Time
+}
+
+func (c Config) filled() Config {
+	set := func(d *time.Duration, to time.Duration) {
+		if *d == 0 {
+			*d = to
+		}
+	}
+	set(&c.Header, 10*time.Second)
+	set(&c.Body, 20*time.Second)
+	set(&c.Idle, 2*time.Minute)
+	set(&c.Write, 10*time.Second)
+	if c.Conns == 0 {
+		c.Conns = 20000
+	}
+	if c.Limits.Line == 0 {
+		c.Limits.Line = 8 << 10
+	}
+	if c.Limits.Header == 0 {
+		c.Limits.Header = 32 << 10
+	}
+	if c.Limits.Body == 0 {
+		c.Limits.Body = 4 << 20
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+// Server answers requests on the connections it is given.
+type Server struct {
+	config Config
+	mux    *Mux
+
+	mu      sync.Mutex
+	conns   map[*conn]bool
+	closing bool
+	done    sync.WaitGroup
+
+	readers, writers sync.Pool
+}
+
+// NewServer makes a server of a mux.
+func NewServer(m *Mux, c Config) *Server {
+	s := &Server{config: c.filled(), mux: m, conns: map[*conn]bool{}}
+	s.readers.New = func() any { return newReader(nil) }
+	s.writers.New = func() any { return bufio.NewWriterSize(nil, 4096) }
+	return s
+}
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	pause := time.Duration(0)
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			var again net.Error
+			if errors.As(err, &again) && again.Timeout() || errors.Is(err, os.ErrDeadlineExceeded) {
+				continue
+			}
+			if pause = min(max(2*pause, 5*time.Millisecond), time.Second); pause == time.Second {
+				return err
+			}
+			time.Sleep(pause) // out of descriptors, most likely: connections end meanwhile
+			continue
+		}
+		pause = 0
+		c := &conn{net: nc, server: s}
+		if !s.admit(c) {
+			go s.turnAway(c)
+			continue
+		}
+		go c.serve()
+	}
+}
+
+func (s *Server) admit(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing || len(s.conns) >= s.config.Conns {
+		return false
+	}
+	s.conns[c] = true
+	s.done.Add(1)
+	return true
+}
+
+func (s *Server) turnAway(c *conn) {
+	r := Problem{Status: 503, Detail: "too many connections"}.Reply("Retry-After", "1")
+	r.Close = true
+	c.write(nil, r)
+	c.net.Close()
+}
+
+// Open counts the connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Shutdown ends idle connections and waits until the others have answered what they hold; the caller has
+// closed the listener and answers what is held. When the context ends first, all connections are cut.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.closing = true
+	for c := range s.conns {
+		c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+	s.mu.Unlock()
+	ended := make(chan struct{})
+	go func() { s.done.Wait(); close(ended) }()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		s.Cut()
+		<-ended
+		return ctx.Err()
+	}
+}
+
+// Cut closes all connections at once, whatever they hold.
+func (s *Server) Cut() {
+	s.mu.Lock()
+	s.closing = true
+	for c := range s.conns {
+		c.net.Close()
+	}
+	s.mu.Unlock()
+}
+
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+// conn is a connection. Its goroutine reads requests and writes all replies, so replies keep their order.
+type conn struct {
+	net    net.Conn
+	server *Server
+	reader *reader // nil while nothing is buffered
+	writer *bufio.Writer
+}
+
+// Read gives the connection's bytes to the reader.
+func (c *conn) Read(p []byte) (int, error) { return c.net.Read(p) }
+
+func (c *conn) serve() {
+	defer func() {
+		c.net.Close()
+		c.release()
+		s := c.server
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		s.done.Done()
+	}()
+	first := [1]byte{}
+	for {
+		if c.reader == nil {
+			c.deadline(c.server.config.Idle)
+			if c.server.isClosing() {
+				return
+			}
+			if n, err := c.net.Read(first[:]); n == 0 || err != nil {
+				return
+			}
+			c.attach(first[0])
+		}
+		if !c.request() {
+			return
+		}
+		if c.reader != nil && c.reader.buf.Buffered() == 0 {
+			c.release()
+		}
+	}
+}
+
+// attach takes a reader from the pool and puts back the byte that was read without one.
+func (c *conn) attach(b byte) {
+	r := c.server.readers.Get().(*reader)
+	r.buf.Reset(io.MultiReader(strings.NewReader(string([]byte{b})), c))
+	c.reader = r
+}
+
+func (c *conn) release() {
+	if c.reader != nil {
+		c.reader.buf.Reset(nil)
+		c.server.readers.Put(c.reader)
+		c.reader = nil
+	}
+}
+
+func (c *conn) deadline(d time.Duration) { c.net.SetReadDeadline(time.Now().Add(d)) }
+
+// request serves one request. It tells whether the connection can go on.
+func (c *conn) request() bool {
+	cfg := &c.server.config
+	c.deadline(cfg.Header)
+	q, err := c.reader.request(cfg.Limits)
+	if err != nil {
+		c.complain(err)
+		return false
+	}
+	q.conn, q.Remote = c, c.net.RemoteAddr().String()
+	route, refusal := c.server.mux.find(q)
+	if refusal != nil {
+		return c.refuse(q, *refusal)
+	}
+	limits := cfg.Limits
+	if route.MaxBody > 0 {
+		limits.Body = route.MaxBody
+	}
+	if q.length != 0 {
+		if q.length > limits.Body {
+			p := Problem{Status: 413, Detail: "the body may have " + strconv.FormatInt(limits.Body, 10) + " bytes"}
+			return c.refuse(q, p.Reply())
+		}
+		if len(route.Media) > 0 && !slices.Contains(route.Media, mediaOf(q.Header)) {
+			p := Problem{Status: 415, Detail: "the body may be " + strings.Join(route.Media, " or ")}
+			return c.refuse(q, p.Reply("Accept", strings.Join(route.Media, ", ")))
+		}
+		if coding := q.Header.Get("Content-Encoding"); coding != "" && coding != "identity" {
+			return c.refuse(q, Problem{Status: 415, Detail: "no content coding is known"}.Reply("Accept-Encoding", "identity"))
+		}
+		if q.expects {
+			c.net.SetWriteDeadline(time.Now().Add(cfg.Write))
+			if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return false
+			}
+		}
+		c.deadline(cfg.Body)
+		if q.Body, err = c.reader.body(q.length, limits); err != nil {
+			c.complain(err)
+			return false
+		}
+	}
+	r := route.Serve(q)
+	if r.Held != nil {
+		if r, err = c.await(r.Held); err != nil {
+			return false
+		}
+	}
+	return c.write(q, r) == nil && !q.close && !r.Close && !c.server.isClosing()
+}
+
+// refuse answers a request whose body was not read; a body on its way ends the connection.
+func (c *conn) refuse(q *Request, r Reply) bool {
+	r.Close = r.Close || q.length != 0
+	ok := c.write(q, r) == nil && !r.Close && !q.close
+	if r.Close {
+		c.linger()
+	}
+	return ok
+}
+
+// complain answers what could not be read, unless the peer said nothing or is gone.
+func (c *conn) complain(err error) {
+	var f *fault
+	var timeout net.Error
+	p := Problem{Status: 400}
+	switch {
+	case errors.As(err, &f):
+		p.Status, p.Detail = f.status, f.text
+	case errors.As(err, &timeout) && timeout.Timeout() && !c.server.isClosing():
+		p.Status, p.Detail = 408, "the request did not come in time"
+	default:
+		return
+	}
+	r := p.Reply()
+	r.Close = true
+	c.write(nil, r)
+	c.linger()
+}
+
+// linger reads on for a moment, so that the peer gets the reply before the connection is reset (RFC 9112, 9.6).
+func (c *conn) linger() {
+	if half, ok := c.net.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.deadline(500 * time.Millisecond)
+		io.CopyN(io.Discard, c.net, 256<<10)
+	}
+}
+
+// write writes a reply; q is nil where the request could not be read.
+func (c *conn) write(q *Request, r Reply) error {
+	w := c.server.writers.Get().(*bufio.Writer)
+	w.Reset(c.net)
+	defer func() { w.Reset(nil); c.server.writers.Put(w) }()
+	c.net.SetWriteDeadline(time.Now().Add(c.server.config.Write))
+	w.WriteString("HTTP/1.1 ")
+	w.WriteString(strconv.Itoa(r.Status))
+	w.WriteByte(' ')
+	w.WriteString(reasons[r.Status])
+	w.WriteString("\r\nDate: ")
+	w.WriteString(c.server.config.Now().UTC().Format("Mon, 02 Jan 2006 15:04:05 GMT"))
+	w.WriteString("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			w.WriteString(name)
+			w.WriteString(": ")
+			w.WriteString(v)
+			w.WriteString("\r\n")
+		}
+	}
+	if r.Status != 204 && r.Status != 304 {
+		w.WriteString("Content-Length: ")
+		w.WriteString(strconv.Itoa(len(r.Body)))
+		w.WriteString("\r\n")
+	}
+	if q == nil || q.close || r.Close || c.server.isClosing() {
+		w.WriteString("Connection: close\r\n")
+	} else if q.Minor == 0 {
+		w.WriteString("Connection: keep-alive\r\n")
+	}
+	w.WriteString("\r\n")
+	if q == nil || q.Method != "HEAD" {
+		w.Write(r.Body)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/record/inputs.go
@@ -0,0 +1,129 @@
+package record
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"barleysail/decide"
+	"barleysail/internal/record/recordpb"
+	"barleysail/steward"
+)
+
+// Listed records a list.
+func Listed(at float64, entries []steward.Entry) *recordpb.Record {
+	l := &recordpb.Listed{}
+	for _, e := range entries {
+		l.Hosts = append(l.Hosts, &recordpb.Host{Address: e.Host, Zone: e.Zone, Phase: int32(e.Phase), Weight: e.Weight,
+			Started: e.Started})
+	}
+	return &recordpb.Record{At: at, What: &recordpb.Record_Listed{Listed: l}}
+}
+
+// ListFailed records that the list could not be had.
+func ListFailed(at float64) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_ListFailed{ListFailed: true}}
+}
+
+// Poll records a poll.
+func Poll(at float64, id int64, q steward.Query) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_Poll{Poll: &recordpb.Poll{Id: id, Proxy: q.Proxy, Zone: q.Zone,
+		Rate: q.Rate, Tags: q.Tags, Any: q.Any, Delta: q.Delta, Wait: q.Wait}}}
+}
+
+// PollGone records that a poll's caller is gone.
+func PollGone(at float64, proxy string, id int64) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_PollGone{PollGone: &recordpb.PollGone{Id: id, Proxy: proxy}}}
+}
+
+// Leave records that a proxy leaves.
+func Leave(at float64, proxy string) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_Leave{Leave: proxy}}
+}
+
+func load(l decide.Load) *recordpb.Load {
+	return &recordpb.Load{Util: l.Util, Rate: l.Rate, Queue: l.Queue}
+}
+
+func unload(l *recordpb.Load) decide.Load {
+	if l == nil {
+		return decide.NoLoad
+	}
+	return decide.Load{Util: l.Util, Rate: l.Rate, Queue: l.Queue}
+}
+
+// Sums records sums, hosts and classes in order.
+func Sums(at float64, proxy string, u steward.Sums) *recordpb.Record {
+	s := &recordpb.Sums{Proxy: proxy, Sender: u.Sender, Number: u.Number}
+	for _, host := range slices.Sorted(maps.Keys(u.Hosts)) {
+		v := u.Hosts[host]
+		s.Hosts = append(s.Hosts, &recordpb.HostSums{Host: host, Tries: int64(v.Tries), Failed: int64(v.Failed),
+			Mean: v.Mean, Span: v.Span, Load: load(v.Load)})
+	}
+	for _, class := range slices.Sorted(maps.Keys(u.Usage)) {
+		v := u.Usage[class]
+		s.Usage = append(s.Usage, &recordpb.Usage{Class: class, Came: int64(v.Came), Unanswered: int64(v.Unanswered),
+			Span: v.Span})
+	}
+	return &recordpb.Record{At: at, What: &recordpb.Record_Sums{Sums: s}}
+}
+
+// Probed records a probe's end.
+func Probed(at float64, host string, how decide.Outcome, l decide.Load) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_Probed{Probed: &recordpb.Probed{Host: host,
+		Outcome: int32(how), Load: load(l)}}}
+}
+
+// Advance records that what was due was done.
+func Advance(at float64) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_Advance{Advance: true}}
+}
+
+// Published records an answer to a poll.
+func Published(at float64, poll int64, a steward.Answer) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_Published{Published: &recordpb.Published{Poll: poll,
+		Proxy: a.Proxy, Kind: int32(a.Kind), Tag: a.Tag, Base: a.Base, Sum: Sum(a.Body())}}}
+}
+
+// Feed gives a recorded input to a steward; outputs and the start are passed over. An input that the steward
+// refused when it came is refused again, which is no error.
+func Feed(s *steward.Steward, r *recordpb.Record, out steward.Out) error {
+	switch x := r.What.(type) {
+	case *recordpb.Record_Listed:
+		var entries []steward.Entry
+		for _, h := range x.Listed.Hosts {
+			entries = append(entries, steward.Entry{Host: h.Address, Zone: h.Zone, Phase: decide.Phase(h.Phase),
+				Weight: h.Weight, Started: h.Started})
+		}
+		s.Listed(r.At, entries)
+	case *recordpb.Record_ListFailed:
+		s.ListFailed(r.At)
+	case *recordpb.Record_Poll:
+		p := x.Poll
+		s.Poll(r.At, p.Id, steward.Query{Proxy: p.Proxy, Zone: p.Zone, Rate: p.Rate, Tags: p.Tags, Any: p.Any,
+			Delta: p.Delta, Wait: p.Wait}, out)
+	case *recordpb.Record_PollGone:
+		s.PollGone(r.At, x.PollGone.Proxy, x.PollGone.Id)
+	case *recordpb.Record_Leave:
+		s.Leave(r.At, x.Leave, out)
+	case *recordpb.Record_Sums:
+		u := steward.Sums{Sender: x.Sums.Sender, Number: x.Sums.Number, Hosts: map[string]steward.HostSums{},
+			Usage: map[string]steward.ClassUsage{}}
+		for _, h := range x.Sums.Hosts {
+			u.Hosts[h.Host] = steward.HostSums{Tries: int(h.Tries), Failed: int(h.Failed), Mean: h.Mean, Span: h.Span,
+				Load: unload(h.Load)}
+		}
+		for _, c := range x.Sums.Usage {
+			u.Usage[c.Class] = steward.ClassUsage{Came: int(c.Came), Unanswered: int(c.Unanswered), Span: c.Span}
+		}
+		s.Sums(r.At, x.Sums.Proxy, u)
+	case *recordpb.Record_Probed:
+		s.Probed(r.At, x.Probed.Host, decide.Outcome(x.Probed.Outcome), unload(x.Probed.Load))
+	case *recordpb.Record_Advance:
+		s.Advance(r.At, out)
+	case *recordpb.Record_Published, *recordpb.Record_Start:
+	default:
+		return fmt.Errorf("a record of a kind that is not known, at %.3f ms", r.At)
+	}
+	return nil
+}
--- /dev/null
+++ b/steward/acks.go
@@ -0,0 +1,61 @@
+package steward
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// mark is a number that the module gave the messages of a round; rounds count on where its numbers repeat.
+type mark struct {
+	round  int64
+	number int
+}
+
+// answers holds the answers to marks back until all that was ordered before has left the channel: the module
+// takes an answer as proof of that, but here withdrawals go in front of weights.
+type answers struct{ early []mark }
+
+// tag names a version in a steward's life.
+func (s *Steward) tag(number int64) string { return s.fleet.Life + "-" + strconv.FormatInt(number, 10) }
+
+// acknowledge takes the newest version that the tags name as applied by the proxy, with all before it, and
+// gives its number, or 0 where no tag names a version of the history. A version is acknowledged once; a tag of
+// another life, or of a version never given to this proxy, acknowledges nothing.
+func (s *Steward) acknowledge(m *member, tags []string) int64 {
+	newest := int64(0)
+	for _, tag := range tags {
+		rest, ours := strings.CutPrefix(tag, s.fleet.Life+"-")
+		n, err := strconv.ParseInt(rest, 10, 64)
+		if ours && err == nil && n > newest && m.version(n) != nil {
+			newest = n
+		}
+	}
+	if newest > m.acked {
+		for i := range m.versions {
+			if v := &m.versions[i]; v.number <= newest {
+				s.answered.early = append(s.answered.early, v.marks...)
+				v.marks = nil
+			}
+		}
+		m.acked = newest
+		s.tellAnswers()
+	}
+	return newest
+}
+
+// tellAnswers gives the module the answers that prove what it takes them for.
+func (s *Steward) tellAnswers() {
+	a := &s.answered
+	if len(a.early) == 0 {
+		return
+	}
+	slices.SortStableFunc(a.early, func(x, y mark) int { return int(x.round - y.round) })
+	waiting := s.channel.oldest()
+	n := 0
+	for n < len(a.early) && a.early[n].round <= waiting {
+		s.module.Answered(a.early[n].number)
+		n++
+	}
+	a.early = append(a.early[:0], a.early[n:]...)
+}
--- /dev/null
+++ b/steward/list.go
@@ -0,0 +1,170 @@
+package steward
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"barleysail/decide"
+)
+
+// Entry of the host list.
+type Entry struct {
+	Host    string // address:port, the address an IP address or a DNS name
+	Zone    string
+	Phase   decide.Phase
+	Weight  float64 // compared with those of other hosts; 0 says nothing
+	Started float64 // time of the last start; 0: not told
+}
+
+// list is the host list as last told, and the hosts that left it.
+type list struct {
+	entries map[string]Entry
+	gone    []departed // by time
+	known   bool
+	failed  bool
+	at      float64
+}
+
+// departed is a host that left the list, to be forgotten at a time.
+type departed struct {
+	host string
+	at   float64
+}
+
+func newList() list { return list{entries: map[string]Entry{}} }
+
+// mostHosts bounds a list; indices and tables grow with it.
+const mostHosts = 50000
+
+var dnsName = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9-]*[A-Za-z0-9])?(\.[A-Za-z0-9]([A-Za-z0-9-]*[A-Za-z0-9])?)*$`)
+
+// CheckAddress tells what is wrong with an address:port, if anything.
+func CheckAddress(host string) error {
+	if _, err := netip.ParseAddrPort(host); err == nil {
+		return nil
+	}
+	at := strings.LastIndexByte(host, ':')
+	if at < 0 {
+		return fmt.Errorf("%q is no address:port", host)
+	}
+	port, err := strconv.ParseUint(host[at+1:], 10, 16)
+	if err != nil || port == 0 || len(host) > 255 || !dnsName.MatchString(host[:at]) ||
+		strings.Trim(host[:at], "0123456789.") == "" {
+		return fmt.Errorf("%q is no address:port", host)
+	}
+	return nil
+}
+
+func (s *Steward) checkList(entries []Entry) error {
+	if len(entries) > mostHosts {
+		return refuse("hosts", "%d entries, %d at most", len(entries), mostHosts)
+	}
+	seen := make(map[string]bool, len(entries))
+	for i, e := range entries {
+		field := fmt.Sprintf("hosts[%d]", i)
+		if err := CheckAddress(e.Host); err != nil {
+			return refuse(field+".address", "%v", err)
+		}
+		if seen[e.Host] {
+			return refuse(field+".address", "%s stands there twice", e.Host)
+		}
+		seen[e.Host] = true
+		if _, ok := s.zone[e.Zone]; !ok {
+			return refuse(field+".zone", "%q is not among the zones %s", e.Zone, strings.Join(s.fleet.Zones, ", "))
+		}
+		if e.Phase != decide.Ready && e.Phase != decide.Draining {
+			return refuse(field+".phase", "%d is neither ready nor draining", e.Phase)
+		}
+		if !(e.Weight >= 0 && e.Weight <= 1e6) {
+			return refuse(field+".weight", "%g is not from 0 to 1000000", e.Weight)
+		}
+		if !(e.Started >= 0 && e.Started <= 1e15) {
+			return refuse(field+".started", "%g is no time", e.Started)
+		}
+	}
+	return nil
+}
+
+// take feeds the module what differs from the list before; a host that is no longer listed is gone. The first
+// list goes in twice, as a list of unknown age and as the present one, since only then does the module take a
+// later entry without a start for one that has just started.
+func (s *Steward) take(entries []Entry) {
+	sorted := append([]Entry(nil), entries...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Host < sorted[j].Host })
+	l := &s.list
+	first := !l.known
+	l.known, l.failed, l.at = true, false, s.now
+	if first {
+		s.module.WholeList(true)
+		s.enter(sorted)
+		s.module.WholeList(false)
+		s.enter(sorted)
+		return
+	}
+	s.module.ListChange()
+	listed := make(map[string]bool, len(sorted))
+	var changed []Entry
+	for _, e := range sorted {
+		listed[e.Host] = true
+		if old, ok := l.entries[e.Host]; !ok || old != e {
+			changed = append(changed, e)
+		}
+	}
+	var left []Entry
+	for host, e := range l.entries {
+		if !listed[host] {
+			left = append(left, e)
+		}
+	}
+	sort.Slice(left, func(i, j int) bool { return left[i].Host < left[j].Host })
+	for _, e := range left {
+		s.module.Entry(s.hosts.index(e.Host), s.zone[e.Zone], decide.Gone, e.Weight, 0)
+		delete(l.entries, e.Host)
+		l.gone = append(l.gone, departed{e.Host, s.now + s.polls.ForgetAfter})
+	}
+	s.enter(changed)
+}
+
+// enter gives entries to the module. A host that had left and is back without a start has started now.
+func (s *Steward) enter(entries []Entry) {
+	for _, e := range entries {
+		started := e.Started
+		_, known := s.hosts.of[e.Host]
+		if _, listed := s.list.entries[e.Host]; known && !listed && started == 0 {
+			started = s.now
+		}
+		s.module.Entry(s.hosts.index(e.Host), s.zone[e.Zone], e.Phase, e.Weight, started)
+		s.list.entries[e.Host] = e
+	}
+}
+
+func (l *list) next() float64 {
+	if len(l.gone) == 0 {
+		return math.Inf(1)
+	}
+	return l.gone[0].at
+}
+
+// forget gives up hosts that left the list long ago, so that their indices can be given to others. One that a
+// table or a probe still names, or that is back, waits for another turn.
+func (s *Steward) forget() {
+	l := &s.list
+	for len(l.gone) > 0 && l.gone[0].at <= s.now {
+		host := l.gone[0].host
+		l.gone = l.gone[1:]
+		h, ok := s.hosts.of[host]
+		if _, back := l.entries[host]; back || !ok {
+			continue
+		}
+		if s.module.Forget(h) {
+			s.hosts.release(host)
+		} else {
+			l.gone = append(l.gone, departed{host, s.now + s.polls.ForgetAfter})
+		}
+	}
+}
--- /dev/null
+++ b/steward/members.go
@@ -0,0 +1,267 @@
+package steward
+
+import (
+	"math"
+	"strings"
+	"unicode"
+)
+
+// member is a proxy that has joined.
+type member struct {
+	name     string
+	index    int
+	zone     int
+	tables   []int // by class, -1 where none is bound
+	versions []version
+	acked    int64    // the newest version that it has polled with
+	poll     *poll    // held now
+	leaves   float64  // where no poll is held
+	noted    float64  // when expire looks at it next
+	message  *message // waiting in the channel
+	sent     []float64
+	sender   string // of its sums, and their number
+	number   int64
+}
+
+// version is a numbered state of a proxy's tables. Numbers are never given twice in a steward's life, so a
+// tag of a proxy that left and came back names no version of its new stay.
+type version struct {
+	number int64
+	view   *View
+	marks  []mark
+}
+
+// poll is held until the tables change or its time is over.
+type poll struct {
+	id    int64
+	base  int64 // the version it names, 0 if none that is known
+	delta bool
+	until float64
+}
+
+// members are the joined proxies, by name and in the order in which their polls and stays end.
+type members struct {
+	byName  map[string]*member
+	index   indices
+	byIndex []*member
+	number  int64 // of the newest version given out
+	held    int
+	dues    dues[string]
+}
+
+// mostProxies bounds the joined proxies: tables of their own are numbered below decide.AllTables.
+const mostProxies = 60000
+
+func newMembers() members {
+	return members{byName: map[string]*member{}, index: newIndices()}
+}
+
+// Query is what a poll asks.
+type Query struct {
+	Proxy, Zone string
+	Rate        float64  // transactions a second that the proxy usually gets; 0: not told
+	Tags        []string // entity tags that the proxy holds, without quotes
+	Any         bool     // whatever there is will do: If-None-Match: *
+	Delta       bool     // a merge patch onto the tagged version will do
+	Wait        float64  // the poll may be held so long; below 0: not at all
+}
+
+func checkName(field, name string) error {
+	if name == "" || len(name) > 128 {
+		return refuse(field, "a name has 1 to 128 characters")
+	}
+	for _, r := range name {
+		if !unicode.IsPrint(r) || strings.ContainsRune(`/\" `, r) || r == unicode.ReplacementChar {
+			return refuse(field, "%q may not stand in a name", r)
+		}
+	}
+	return nil
+}
+
+// Poll joins the proxy if it has not joined, notes what the tag acknowledges, and answers by out: at once, or
+// later under the poll's id. Of two polls for a proxy the later one stays; the earlier is answered at once.
+func (s *Steward) Poll(now float64, id int64, q Query, out Out) error {
+	s.now, s.out = now, out
+	if err := checkName("proxy", q.Proxy); err != nil {
+		return err
+	}
+	z, ok := s.zone[q.Zone]
+	if !ok {
+		return refuse("zone", "%q is not among the zones %s", q.Zone, strings.Join(s.fleet.Zones, ", "))
+	}
+	if !(q.Rate >= 0 && q.Rate <= 1e9) {
+		return refuse("rate", "%g is not from 0 to 1e9", q.Rate)
+	}
+	m := s.members.byName[q.Proxy]
+	if m != nil && m.zone != z {
+		s.leave(m)
+		m = nil
+	}
+	if m == nil {
+		if len(s.members.byName) >= mostProxies {
+			return refuse("proxy", "%d proxies have joined, no more can", mostProxies)
+		}
+		m = s.join(q.Proxy, z, q.Rate)
+	}
+	if m.poll != nil {
+		s.answer(m, m.poll)
+	}
+	base := s.acknowledge(m, q.Tags)
+	if n := len(m.versions); q.Any && n > 0 {
+		base = m.versions[n-1].number
+	}
+	p := &poll{id: id, base: base, delta: q.Delta, until: now + math.Min(q.Wait, s.polls.WaitMost)}
+	if len(m.versions) == 0 {
+		p.until = now + math.Min(math.Max(q.Wait, s.polls.FirstWait), s.polls.WaitMost)
+	} else if q.Wait < 0 || base != m.versions[len(m.versions)-1].number {
+		p.until = now
+	}
+	m.poll, m.leaves = p, math.Inf(1)
+	s.members.held++
+	if p.until <= now {
+		s.answer(m, p)
+	} else {
+		s.members.watch(m, p.until)
+	}
+	return nil
+}
+
+// PollGone notes that nobody waits for a poll's answer any more.
+func (s *Steward) PollGone(now float64, proxy string, id int64) {
+	s.now = now
+	if m := s.members.byName[proxy]; m != nil && m.poll != nil && m.poll.id == id {
+		s.unhold(m)
+	}
+}
+
+// Leave lets a proxy leave. It tells whether it had joined.
+func (s *Steward) Leave(now float64, proxy string, out Out) bool {
+	s.now, s.out = now, out
+	m := s.members.byName[proxy]
+	if m != nil {
+		s.leave(m)
+	}
+	return m != nil
+}
+
+func (s *Steward) join(name string, zone int, rate float64) *member {
+	ms := &s.members
+	m := &member{name: name, index: ms.index.index(name), zone: zone, leaves: math.Inf(1), noted: math.Inf(1)}
+	for range s.classes {
+		m.tables = append(m.tables, -1)
+	}
+	for len(ms.byIndex) <= m.index {
+		ms.byIndex = append(ms.byIndex, nil)
+	}
+	ms.byName[name], ms.byIndex[m.index] = m, m
+	s.module.Joined(m.index, zone, rate)
+	s.round.soon(s.now, s.polls.Step)
+	return m
+}
+
+func (s *Steward) leave(m *member) {
+	if m.poll != nil {
+		s.answer(m, m.poll)
+	}
+	s.channel.drop(m)
+	s.module.Left(m.index)
+	s.module.ForgetProxy(m.index)
+	s.tables.forget(s.module.OwnTable(m.index))
+	delete(s.members.byName, m.name)
+	s.members.byIndex[m.index] = nil
+	s.members.index.release(m.name)
+	s.round.soon(s.now, s.polls.Step)
+}
+
+// expire answers polls whose time is over, and lets proxies leave that were not heard.
+func (s *Steward) expire() {
+	for {
+		name, ok := s.members.dues.pop(s.now)
+		if !ok {
+			return
+		}
+		m := s.members.byName[name]
+		if m == nil {
+			continue
+		}
+		m.noted = math.Inf(1)
+		if m.poll != nil && m.poll.until <= s.now {
+			s.answer(m, m.poll)
+		} else if m.poll != nil {
+			s.members.watch(m, m.poll.until)
+		} else if m.leaves <= s.now {
+			s.leave(m)
+		} else {
+			s.members.watch(m, m.leaves)
+		}
+	}
+}
+
+// watch has expire look at a proxy at a time, if it does not do so sooner anyway. A proxy has one such time,
+// however often it polls.
+func (ms *members) watch(m *member, at float64) {
+	if at < m.noted {
+		m.noted = at
+		ms.dues.add(at, m.name)
+	}
+}
+
+func (ms *members) next() float64 { return ms.dues.next() }
+
+// unhold ends the holding of a poll; from then on the proxy has to poll again.
+func (s *Steward) unhold(m *member) {
+	m.poll = nil
+	s.members.held--
+	m.leaves = s.now + s.polls.LeaveAfter
+	s.members.watch(m, m.leaves)
+}
+
+// answer gives a poll the newest version: nothing if it has that already, a delta if its base is in the
+// history and it takes one, else the whole.
+func (s *Steward) answer(m *member, p *poll) {
+	s.unhold(m)
+	if len(m.versions) == 0 { // bound to no table yet
+		s.publish(m, nil)
+	}
+	newest := m.versions[len(m.versions)-1]
+	a := Answer{Proxy: m.name, Tag: s.tag(newest.number), view: newest.view, Kind: Whole}
+	if p.base == newest.number {
+		a.Kind = Same
+	} else if base := m.version(p.base); base != nil && p.delta {
+		a.Kind, a.Base, a.from = Delta, s.tag(p.base), base.view
+	}
+	s.out.Answer(p.id, a)
+}
+
+// version finds a version in the history.
+func (m *member) version(number int64) *version {
+	for i := range m.versions {
+		if m.versions[i].number == number {
+			return &m.versions[i]
+		}
+	}
+	return nil
+}
+
+// publish makes what the tables now hold for a proxy its newest version.
+func (s *Steward) publish(m *member, marks []mark) {
+	s.members.number++
+	m.versions = append(m.versions, version{s.members.number, s.view(m), marks})
+	for len(m.versions) > s.polls.History {
+		m.versions[1].marks = append(m.versions[0].marks, m.versions[1].marks...)
+		m.versions = append(m.versions[:0], m.versions[1:]...)
+	}
+	if m.poll != nil {
+		s.answer(m, m.poll)
+	}
+}
+
+// Release answers all polls that are held with what there is, as before the end of a steward.
+func (s *Steward) Release(now float64, out Out) {
+	s.now, s.out = now, out
+	for _, m := range s.members.byIndex {
+		if m != nil && m.poll != nil {
+			s.answer(m, m.poll)
+		}
+	}
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,218 @@
+// Package steward is the control service as a library: it takes in the host list, joins, polls, sums, probe
+// results and acknowledgements at stated times, lets the decision module decide, and gives out tables as
+// numbered versions with deltas, probes to send and log lines. It does no I/O, reads no clock and starts no
+// goroutine, so the same calls give the same answers; a daemon or any other program calls it under a lock of
+// its own.
+//
+// Times are milliseconds with fractions on one clock that only advances. After each call the caller asks
+// Next when to call Advance.
+package steward
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"barleysail/decide"
+)
+
+// Class of transactions, in the order of the settings.
+type Class struct {
+	Name string
+	decide.Class
+}
+
+// Fleet is what a steward is told of its surroundings.
+type Fleet struct {
+	Life                      string // names this run of the steward in its tags; never the same twice
+	Seed                      uint64
+	Zones                     []string
+	Instances, Proxies        int     // stewards, and proxies over all of them
+	Period                    float64 // proxies send their sums so often
+	Ejects, UsualTries        int     // see decide.Fleet
+	Admits, MayProbe, MustAsk bool
+}
+
+// Polls holds the library's own figures.
+type Polls struct {
+	Step        float64 // least time between two rounds of decisions
+	WaitMost    float64 // a poll is held so long at most
+	FirstWait   float64 // and one of a proxy without tables so long at least, until the first come
+	LeaveAfter  float64 // a proxy without a poll has left after so long
+	ForgetAfter float64 // a host that is gone is forgotten after so long
+	History     int     // versions kept of each proxy's tables, as bases of deltas
+}
+
+// DefaultPolls are the figures used where none are set.
+func DefaultPolls() Polls {
+	return Polls{Step: 10, WaitMost: 60000, FirstWait: 300, LeaveAfter: 5000, ForgetAfter: 600000, History: 32}
+}
+
+// Out takes what a call on a Steward leads to. Its methods must not call the Steward.
+type Out interface {
+	Answer(poll int64, a Answer) // answers a poll, once
+	Probe(host string)           // asks for a probe; Probed tells how it ended
+	Watch()                      // asks for the list and its changes, where the list must be asked
+	Log(text string)             // a line for each change of mode
+}
+
+// FieldError says which field of an input was refused, and why. Nothing of the input was applied.
+type FieldError struct{ Field, Reason string }
+
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+func refuse(field, format string, args ...any) error {
+	return &FieldError{field, fmt.Sprintf(format, args...)}
+}
+
+// Steward serves the proxies that poll it. Make one with New.
+type Steward struct {
+	fleet   Fleet
+	classes []Class
+	polls   Polls
+	module  *decide.Steward
+	zone    map[string]int
+	class   map[string]int
+
+	now     float64
+	round   rounds
+	hosts   indices
+	list    list
+	members members
+	tables  tables
+	channel channel
+
+	answered answers
+	out      Out // of the present call
+
+	mode   string // the last line of the module
+	modeAt float64
+	rounds int64
+}
+
+// New makes a steward that knows no list and no proxy yet.
+func New(fleet Fleet, classes []Class, channel decide.Channel, guard decide.Guard, goal decide.Goal,
+	polls Polls) *Steward {
+	s := &Steward{fleet: fleet, classes: classes, polls: polls, zone: map[string]int{}, class: map[string]int{}}
+	known := make([]decide.Class, len(classes))
+	for i, c := range classes {
+		known[i], s.class[c.Name] = c.Class, i
+	}
+	for i, z := range fleet.Zones {
+		s.zone[z] = i
+	}
+	s.module = decide.New(decide.Fleet{Instances: fleet.Instances, Zones: len(fleet.Zones), Proxies: fleet.Proxies,
+		Seed: fleet.Seed, Period: fleet.Period, Ejects: fleet.Ejects, UsualTries: fleet.UsualTries,
+		Admits: fleet.Admits, MayProbe: fleet.MayProbe, MustAsk: fleet.MustAsk}, known, channel, guard, goal)
+	s.hosts, s.list, s.members = newIndices(), newList(), newMembers()
+	s.tables = newTables(len(classes), fleet.UsualTries)
+	s.channel = newChannel(channel)
+	s.round = rounds{at: math.Inf(-1), last: math.Inf(-1), wake: math.Inf(1)}
+	return s
+}
+
+// Advance does all that is due: it ends the polls that have waited long enough, lets proxies leave that were
+// not heard, sends what the channel may send, and decides a round.
+func (s *Steward) Advance(now float64, out Out) {
+	s.now, s.out = now, out
+	s.expire()
+	s.depart()
+	if s.round.due(now) {
+		s.decide()
+		s.depart()
+	}
+	s.forget()
+}
+
+// Next is when Advance has something to do; it may lie in the past, as at first.
+func (s *Steward) Next() float64 {
+	return math.Min(math.Min(s.round.next(), s.channel.next()), math.Min(s.members.next(), s.list.next()))
+}
+
+// decide runs a round of the module.
+func (s *Steward) decide() {
+	s.round.start(s.now)
+	s.rounds++
+	s.tables.round++
+	s.module.Round(s.now, writer{s})
+	s.order()
+}
+
+// Listed notes the whole list as it now stands. The hosts of the first list that tell no start count as
+// started long ago; later a new host without one starts when it is listed. The error names the entry's field.
+func (s *Steward) Listed(now float64, entries []Entry) error {
+	s.now = now
+	if err := s.checkList(entries); err != nil {
+		return err
+	}
+	s.take(entries)
+	s.round.soon(now, s.polls.Step)
+	return nil
+}
+
+// ListFailed notes that the list could not be had, or that it no longer sends its changes.
+func (s *Steward) ListFailed(now float64) {
+	s.now = now
+	s.list.failed = true
+	s.module.ListFailed()
+	s.round.soon(now, s.polls.Step)
+}
+
+// Probed notes how a probe ended; load is decide.NoLoad where the host told none.
+func (s *Steward) Probed(now float64, host string, how decide.Outcome, load decide.Load) {
+	s.now = now
+	if h, ok := s.hosts.of[host]; ok {
+		s.module.Probed(h, how, load)
+		s.round.soon(now, s.polls.Step)
+	}
+}
+
+// Status is what a steward says of itself.
+type Status struct {
+	Life           string   `json:"life"`
+	Zones          []string `json:"zones"`
+	Classes        []string `json:"classes"`
+	ListAgeMs      float64  `json:"list_age_ms"` // since the list last came; below 0: never
+	ListFailed     bool     `json:"list_failed"` // the last try to get it
+	Hosts          int      `json:"hosts"`
+	Joined         int      `json:"joined"`
+	Polls          int      `json:"polls"` // held now
+	LinesWaiting   float64  `json:"lines_waiting"`
+	Rounds         int64    `json:"rounds"`
+	Mode           string   `json:"mode"` // the last change of mode, as logged
+	ModeForMs      float64  `json:"mode_for_ms"`
+	IndicesInUse   int      `json:"indices_in_use"` // hosts listed or not yet forgotten
+	MessagesQueued int      `json:"messages_queued"`
+}
+
+// Status tells how things stand.
+func (s *Steward) Status(now float64) Status {
+	st := Status{Life: s.fleet.Life, Zones: s.fleet.Zones, ListAgeMs: -1, ListFailed: s.list.failed,
+		Hosts: len(s.list.entries), Joined: len(s.members.byName), Polls: s.members.held,
+		LinesWaiting: s.channel.waiting(), Rounds: s.rounds, Mode: "ordinary", IndicesInUse: len(s.hosts.of),
+		MessagesQueued: s.channel.messages()}
+	for _, c := range s.classes {
+		st.Classes = append(st.Classes, c.Name)
+	}
+	if s.list.known {
+		st.ListAgeMs = now - s.list.at
+	}
+	if s.mode != "" {
+		st.Mode, st.ModeForMs = s.mode, now-s.modeAt
+	}
+	return st
+}
+
+// log passes a line of the module on, with the names of hosts in place of their indices.
+func (s *Steward) log(text string) {
+	words := strings.Split(text, " ")
+	for i := 1; i < len(words); i++ {
+		number := strings.TrimRight(words[i], ":,")
+		if h, err := strconv.Atoi(number); err == nil && words[i-1] == "host" && h < len(s.hosts.names) {
+			words[i] = s.hosts.names[h] + words[i][len(number):]
+		}
+	}
+	s.mode, s.modeAt = strings.Join(words, " "), s.now
+	s.out.Log(s.mode)
+}
--- /dev/null
+++ b/steward/view.go
@@ -0,0 +1,196 @@
+package steward
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+)
+
+// View is what a proxy's tables hold in a version. It never changes; proxies with the same tables share one,
+// and with it the bytes of its document and of the deltas from it.
+type View struct {
+	id      int64
+	classes []classView
+	once    sync.Once
+	whole   []byte
+
+	mu     sync.Mutex
+	deltas map[int64][]byte // by base; not by pointer, which would keep every view there ever was
+}
+
+type classView struct {
+	name  string
+	lines []line
+	bound bool
+	level level
+}
+
+// view makes the view of a proxy's present tables, or finds the one of the other proxies with the same table.
+func (s *Steward) view(m *member) *View {
+	numbers := distinct(m.tables)
+	whole := len(numbers) == 1 && !slices.Contains(m.tables, -1)
+	if whole {
+		if v := s.tables.table(m.tables[0]).view; v != nil {
+			return v
+		}
+	}
+	s.tables.views++
+	v := &View{id: s.tables.views, classes: make([]classView, len(s.classes))}
+	for k, n := range m.tables {
+		c := classView{name: s.classes[k].Name, level: s.tables.both(level{}, s.tables.levels[k])}
+		if n >= 0 {
+			b := s.tables.table(n)
+			c.bound, c.lines, c.level = true, s.lines(b), s.tables.both(b.levels[k], s.tables.levels[k])
+		}
+		v.classes[k] = c
+	}
+	if whole {
+		s.tables.table(m.tables[0]).view = v
+	}
+	return v
+}
+
+// Kind of an answer.
+type Kind int
+
+// The tables as they stand, a merge patch onto the version named as base, or nothing new.
+const (
+	Whole Kind = iota
+	Delta
+	Same
+)
+
+// Answer to a poll. Body may be called from any goroutine.
+type Answer struct {
+	Kind      Kind
+	Proxy     string
+	Tag, Base string // without quotes
+	view      *View
+	from      *View
+}
+
+// Body gives the JSON document: {"proxy":…,"tables":…}, or the RFC 7396 merge patch of it. A class that was
+// not ordered yet has no "hosts", and the proxy keeps what it has for it.
+func (a Answer) Body() []byte {
+	switch a.Kind {
+	case Same:
+		return nil
+	case Delta:
+		return a.view.delta(a.from)
+	}
+	name, _ := json.Marshal(a.Proxy)
+	tables := a.view.document()
+	body := make([]byte, 0, len(tables)+len(name)+24)
+	body = append(append(append(body, `{"proxy":`...), name...), `,"tables":`...)
+	return append(append(body, tables...), "}\n"...)
+}
+
+func (v *View) document() []byte {
+	v.once.Do(func() { v.whole = v.encode(nil) })
+	return v.whole
+}
+
+// delta gives the merge patch from another view, and keeps it while the bases that ask for it are few.
+func (v *View) delta(from *View) []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if body, ok := v.deltas[from.id]; ok {
+		return body
+	}
+	tables := v.encode(from)
+	body := append(append([]byte(`{"tables":`), tables...), "}\n"...)
+	if string(tables) == "{}" {
+		body = []byte("{}\n")
+	}
+	if v.deltas == nil || len(v.deltas) >= mostDeltas {
+		v.deltas = map[int64][]byte{}
+	}
+	v.deltas[from.id] = body
+	return body
+}
+
+// mostDeltas bounds the deltas kept with a view.
+const mostDeltas = 8
+
+// encode writes the tables, or with a base what differs from it.
+func (v *View) encode(from *View) []byte {
+	out, first := []byte{'{'}, true
+	for i, c := range v.classes {
+		var old *classView
+		if from != nil && i < len(from.classes) {
+			old = &from.classes[i]
+		}
+		body := c.encode(old)
+		if from != nil && string(body) == "{}" {
+			continue
+		}
+		out, first = key(out, c.name, first), false
+		out = append(out, body...)
+	}
+	return append(out, '}')
+}
+
+// key begins a member of an object.
+func key(out []byte, name string, first bool) []byte {
+	if !first {
+		out = append(out, ',')
+	}
+	quoted, _ := json.Marshal(name)
+	return append(append(out, quoted...), ':')
+}
+
+func number(out []byte, x float64) []byte { return strconv.AppendFloat(out, x, 'g', -1, 64) }
+
+func (c *classView) encode(old *classView) []byte {
+	out, first := []byte{'{'}, true
+	if c.bound && (old == nil || !old.bound || !same(c.lines, old.lines)) {
+		out, first = key(out, "hosts", first), false
+		var before []line
+		if old != nil && old.bound {
+			before = old.lines
+		}
+		out = encodeLines(out, c.lines, before)
+	}
+	if old == nil || c.level.share != old.level.share {
+		out, first = number(key(out, "share", first), c.level.share), false
+	}
+	if old == nil || c.level.tries != old.level.tries {
+		out = strconv.AppendInt(key(out, "tries", first), int64(c.level.tries), 10)
+	}
+	return append(out, '}')
+}
+
+// same tells whether two snapshots hold the same lines; those of one table that did not change are one.
+func same(a, b []line) bool {
+	if len(a) != len(b) || len(a) == 0 || &a[0] == &b[0] {
+		return len(a) == len(b)
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// encodeLines writes the lines that differ from those before, a host that is gone as null.
+func encodeLines(out []byte, now, before []line) []byte {
+	out, first := append(out, '{'), true
+	for len(now) > 0 || len(before) > 0 {
+		switch {
+		case len(before) == 0 || len(now) > 0 && now[0].host < before[0].host:
+			out, first = number(key(out, now[0].host, first), now[0].weight), false
+			now = now[1:]
+		case len(now) == 0 || before[0].host < now[0].host:
+			out, first = append(key(out, before[0].host, first), "null"...), false
+			before = before[1:]
+		default:
+			if now[0].weight != before[0].weight {
+				out, first = number(key(out, now[0].host, first), now[0].weight), false
+			}
+			now, before = now[1:], before[1:]
+		}
+	}
+	return append(out, '}')
+}
