--- /dev/null
+++ b/cmd/barleysail/rehearse.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"barleysail/internal/rehearse"
+)
+
+func rehearseCommand() *cobra.Command {
+	var verbose bool
+	c := &cobra.Command{Use: "rehearse SCRIPT", Short: "Play a scripted day on loopback and reckon the rules",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			log := zerolog.Nop()
+			if verbose {
+				log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr}).With().Timestamp().Logger()
+			}
+			r, err := rehearse.Play(ctx, args[0], version, c.OutOrStdout(), log)
+			if err != nil {
+				return err
+			}
+			if !r.Kept {
+				return errors.New("a rule was broken")
+			}
+			return nil
+		}}
+	c.Flags().BoolVarP(&verbose, "verbose", "v", false, "the logs of stewards and forwarders on standard error")
+	return c
+}
--- /dev/null
+++ b/internal/rehearse/day.go
@@ -0,0 +1,342 @@
+// Package rehearse plays a scripted day on loopback: real stewards on sockets, stand-in hosts and forwarders,
+// and troubles at stated times. Service is counted and the rules are reckoned from what passed on the sockets.
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/prototext"
+	"google.golang.org/protobuf/proto"
+
+	"barleysail/internal/config"
+	"barleysail/internal/config/configpb"
+	"barleysail/internal/daemon"
+	"barleysail/internal/rehearse/daypb"
+	"barleysail/internal/rules"
+	"barleysail/internal/standin"
+)
+
+// Result of a day.
+type Result struct {
+	Service  float64
+	Verdicts []rules.Verdict
+	Kept     bool
+}
+
+// day is one that is being played.
+type day struct {
+	script  *daypb.Day
+	config  *configpb.Config
+	version string
+	dir     string
+	out     io.Writer
+	log     zerolog.Logger
+	start   time.Time
+	journal *rules.Journal
+	service *service
+
+	mu         sync.Mutex
+	hosts      []*member
+	forwarders []*standin.Forwarder
+	stewards   []*daemon.Daemon
+	addresses  []string
+	note       string
+}
+
+// member is a host with what the list says of it.
+type member struct {
+	*standin.Host
+	zone     string
+	listed   bool
+	draining bool
+	started  float64
+}
+
+// Play plays the day of a script file, with progress and the report on out.
+func Play(ctx context.Context, file, version string, out io.Writer, log zerolog.Logger) (*Result, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("reading the script: %w", err)
+	}
+	script := &daypb.Day{}
+	if err := prototext.Unmarshal(text, script); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return PlayDay(ctx, script, version, out, log)
+}
+
+// PlayDay plays a script.
+func PlayDay(ctx context.Context, script *daypb.Day, version string, out io.Writer, log zerolog.Logger) (*Result, error) {
+	d := &day{script: script, version: version, out: out, log: log, journal: rules.NewJournal()}
+	if err := d.check(); err != nil {
+		return nil, err
+	}
+	var err error
+	if d.dir, err = os.MkdirTemp("", "barleysail-rehearsal"); err != nil {
+		return nil, fmt.Errorf("making a folder: %w", err)
+	}
+	defer os.RemoveAll(d.dir)
+	defer d.end()
+	if err := d.begin(); err != nil {
+		return nil, err
+	}
+	d.run(ctx)
+	return d.report(), ctx.Err()
+}
+
+func (d *day) check() error {
+	s := d.script
+	if s.Stewards == 0 {
+		s.Stewards = 1
+	}
+	if s.FallMs == 0 {
+		s.FallMs = 3000
+	}
+	if s.LengthS <= 0 || s.LengthS > 3600 || s.Stewards < 0 || s.Stewards > 16 || s.Steward == nil ||
+		len(s.Hosts) == 0 || len(s.Forwarders) == 0 || len(s.Traffic) == 0 {
+		return fmt.Errorf("the script: a day needs length_s (to 3600), stewards (to 16), steward, hosts, forwarders and traffic")
+	}
+	c := proto.Clone(s.Steward).(*configpb.Config)
+	c.List = &configpb.List{File: "hosts.textproto"}
+	if c.Fleet == nil {
+		c.Fleet = &configpb.Fleet{}
+	}
+	c.Listen, c.Record, c.Fleet.Stewards = "127.0.0.1:0", "", &s.Stewards
+	proxies := int32(0)
+	for _, g := range s.Forwarders {
+		proxies += g.Count
+	}
+	c.Fleet.Proxies = &proxies
+	text, err := prototext.Marshal(c)
+	if err != nil {
+		return err
+	}
+	if d.config, err = config.Parse("the script's steward", text); err != nil {
+		return err
+	}
+	known := map[string]bool{}
+	for _, k := range c.Classes {
+		known[k.Name] = true
+	}
+	for _, t := range s.Traffic {
+		if !known[t.Class] || t.Rate <= 0 || t.Rate > 5000 || t.WorkMs <= 0 {
+			return fmt.Errorf("the script's traffic: class %q, %g a second of %g ms, does not do", t.Class, t.Rate, t.WorkMs)
+		}
+	}
+	for i, st := range s.Steps {
+		if st.What == daypb.What_NONE || st.AtS < 0 || st.ForS < 0 || st.What == daypb.What_KILL && (st.Steward < 0 || st.Steward >= s.Stewards) {
+			return fmt.Errorf("the script's steps[%d] names nothing that can be done", i)
+		}
+	}
+	return nil
+}
+
+// figures are the rules' figures by the configuration.
+func (d *day) figures() rules.Figures {
+	c, f := d.config, rules.Figures{Fall: d.script.FallMs, Once: map[string]bool{}}
+	f.Bare, f.Grace = *c.Guard.BareMs, *c.Guard.GraceMs
+	f.ColdFrom, f.Cold, f.Multiple = *c.Guard.ColdFrom, *c.Guard.ColdMs, *c.Guard.FallMultiple
+	f.LinesPerS, f.Head, f.MostWaiting = *c.Channel.LinesPerS, *c.Channel.HeadLines, *c.Channel.MostWaiting
+	f.MessagesMost, f.MessagesOver = int(*c.Channel.MessagesMost), *c.Channel.MessagesOverMs
+	for _, t := range d.script.Traffic {
+		f.Once[t.Class] = t.Effect == daypb.Effect_ONCE
+	}
+	return f
+}
+
+func (d *day) begin() error {
+	f := d.figures()
+	for _, g := range d.script.Hosts {
+		set := standin.HostSettings{Zone: g.Zone, Cores: max(int(g.Cores), 1), Speed: g.Speed, Queue: int(g.Queue),
+			ColdFrom: f.ColdFrom, Cold: f.Cold, Multiple: f.Multiple, Fall: f.Fall, Once: f.Once}
+		if g.Cores == 0 {
+			set.Cores = 4
+		}
+		if g.Speed == 0 {
+			set.Speed = 1
+		}
+		if g.Queue == 0 {
+			set.Queue = 64
+		}
+		for range g.Count {
+			h, err := standin.NewHost(set, d.journal)
+			if err != nil {
+				return fmt.Errorf("starting a host: %w", err)
+			}
+			d.hosts = append(d.hosts, &member{Host: h, zone: g.Zone, listed: true})
+		}
+	}
+	d.config.List.File = filepath.Join(d.dir, "hosts.textproto")
+	if err := d.list(); err != nil {
+		return err
+	}
+	for range d.script.Stewards {
+		s, err := daemon.Start(d.config, d.version, d.log)
+		if err != nil {
+			return fmt.Errorf("starting a steward: %w", err)
+		}
+		d.stewards, d.addresses = append(d.stewards, s), append(d.addresses, s.Addr())
+	}
+	d.start = time.Now()
+	d.service = newService(standin.Now())
+	for _, k := range d.config.Classes {
+		d.service.class(k.Name, *k.Earnings, *k.DueMs)
+	}
+	return d.forward()
+}
+
+// forward makes the forwarders, the stewards dealt out to them in turn, each with a few hosts of its zone.
+func (d *day) forward() error {
+	total, n := 0, 0
+	for _, g := range d.script.Forwarders {
+		total += int(g.Count)
+	}
+	classes := map[string]*configpb.Class{}
+	for _, k := range d.config.Classes {
+		classes[k.Name] = k
+	}
+	for _, g := range d.script.Forwarders {
+		var near []string
+		for _, h := range d.hosts {
+			if h.zone == g.Zone && len(near) < 4 {
+				near = append(near, h.Address)
+			}
+		}
+		for range g.Count {
+			set := standin.ForwarderSettings{Name: fmt.Sprintf("forwarder-%d", n), Zone: g.Zone, Standing: near,
+				Seed: d.script.Seed + uint64(n), Wait: 10 * time.Second, Ejects: int(*d.config.Fleet.Ejects),
+				Period:  time.Duration(*d.config.Fleet.PeriodMs * float64(time.Millisecond)),
+				Journal: d.journal, Ended: d.service.ended, Log: func(text string) { d.log.Debug().Msg(text) }}
+			for i := range d.addresses {
+				set.Stewards = append(set.Stewards, "http://"+d.addresses[(n+i)%len(d.addresses)])
+			}
+			for _, t := range d.script.Traffic {
+				k := classes[t.Class]
+				set.Traffic = append(set.Traffic, standin.Traffic{Class: t.Class, Rate: t.Rate / float64(total),
+					Work: t.WorkMs, Due: *k.DueMs, Patience: *k.PatienceMs, Repeats: t.Effect == daypb.Effect_SAFE})
+			}
+			f, err := standin.NewForwarder(set)
+			if err != nil {
+				return fmt.Errorf("making a forwarder: %w", err)
+			}
+			d.forwarders = append(d.forwarders, f)
+			n++
+		}
+	}
+	return nil
+}
+
+// list writes the host list as it now stands, and notes it: stewards can know it from then on.
+func (d *day) list() error {
+	l, seen := &configpb.HostList{}, map[string]rules.Listed{}
+	d.mu.Lock()
+	for _, h := range d.hosts {
+		if !h.listed {
+			continue
+		}
+		e := &configpb.Host{Address: h.Address, Zone: h.zone, StartedUnixMs: h.started}
+		if h.draining {
+			e.Phase = configpb.Phase_DRAINING
+		}
+		l.Hosts = append(l.Hosts, e)
+		seen[h.Address] = rules.Listed{Ready: !h.draining, Started: h.started}
+	}
+	d.mu.Unlock()
+	text, err := prototext.MarshalOptions{Multiline: true}.Marshal(l)
+	if err != nil {
+		return err
+	}
+	next := d.config.List.File + ".next"
+	if err := os.WriteFile(next, text, 0o644); err != nil {
+		return fmt.Errorf("writing the host list: %w", err)
+	}
+	d.journal.Gave(standin.Now(), seen)
+	return os.Rename(next, d.config.List.File)
+}
+
+// run plays the day: traffic, steps and progress.
+func (d *day) run(ctx context.Context) {
+	traffic, stop := context.WithCancel(ctx)
+	defer stop()
+	var all sync.WaitGroup
+	for _, f := range d.forwarders {
+		all.Add(1)
+		go func() { defer all.Done(); f.Run(traffic) }()
+	}
+	for _, st := range d.script.Steps {
+		all.Add(1)
+		go func() { defer all.Done(); d.step(traffic, st) }()
+	}
+	end := time.After(time.Duration(d.script.LengthS * float64(time.Second)))
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for over := false; !over; {
+		select {
+		case <-tick.C:
+			d.progress()
+		case <-end:
+			over = true
+		case <-ctx.Done():
+			over = true
+		}
+	}
+	stop()
+	all.Wait()
+}
+
+func (d *day) progress() {
+	passed := time.Since(d.start).Seconds()
+	i := int(passed * 1000 / window)
+	part, n := d.service.share(i, i+1)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fmt.Fprintf(d.out, "%4.0f s  service %.3f of %4d  %s\n", passed, part, n, d.note)
+	d.note = ""
+}
+
+func (d *day) say(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.note != "" {
+		d.note += "; "
+	}
+	d.note += fmt.Sprintf(format, args...)
+}
+
+func (d *day) report() *Result {
+	r := &Result{Kept: true, Verdicts: d.journal.Check(d.figures(), standin.Now())}
+	r.Service, _ = d.service.share(0, 1<<30)
+	for _, h := range d.hosts {
+		if h.Fallen() {
+			r.Verdicts = append(r.Verdicts, rules.Verdict{Rule: "hosts that fell over", Margin: -1, Seen: h.Address})
+		}
+	}
+	d.service.print(d.out)
+	fmt.Fprintln(d.out)
+	for _, v := range r.Verdicts {
+		word := "kept"
+		if !v.Kept {
+			word, r.Kept = "BROKEN", false
+		}
+		fmt.Fprintf(d.out, "%-6s  %-28s margin %5.2f  %s\n", word, v.Rule, v.Margin, v.Seen)
+	}
+	return r
+}
+
+func (d *day) end() {
+	for _, s := range d.stewards {
+		if s != nil {
+			s.Kill()
+		}
+	}
+	for _, h := range d.hosts {
+		h.Crash()
+	}
+}
