Test the library and the HTTP server; keep the byte that ends the wait of a held request

Need: what passes on the sockets must be right in every odd case. Found so: the first byte of a pipelined request was lost when its held predecessor was answered; port 0 was taken for an address; a steward without a list emptied its proxies' tables; orders nobody answers were kept for good (now 4000 at most, in decide).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,6 +61,7 @@
 	easeUnder    = 0.8  // busy cores under which the level rises
 	levelLeast   = 0.1
 	unlimited    = 1e6 // a level where shares are not heeded
+	marksKept    = 4000
 )
 
 // New makes the steward of an instance that has just started.
@@ -701,6 +702,7 @@
 		w.Mark(b.number)
 		b.before, b.queue = s.ordered, added
 		s.batches, s.number = append(s.batches, *b), b.number
+		s.batches = s.batches[max(0, len(s.batches)-marksKept):] // proxies that never answer cost no more
 		s.queued, s.ordered = s.queued+added, s.ordered+added
 	}
 	for i, met := range b.met {
--- a/internal/daemon/listfile.go
+++ b/internal/daemon/listfile.go
@@ -22,7 +22,6 @@
 	log  zerolog.Logger
 	take func([]steward.Entry) error
 	last []byte
-	any  bool // a list with hosts was taken
 }
 
 // settle is waited after a change, since an editor writes in several steps.
@@ -44,13 +43,12 @@
 	if err != nil {
 		return err
 	}
-	if len(entries) == 0 && l.any {
+	if len(entries) == 0 {
 		return fmt.Errorf("%s: no host is listed", l.file)
 	}
 	if err := l.take(entries); err != nil {
 		return fmt.Errorf("%s: %w", l.file, err)
 	}
-	l.any = l.any || len(entries) > 0
 	l.log.Info().Int("hosts", len(entries)).Msg("host list read")
 	return nil
 }
--- a/internal/daemon/listservice.go
+++ b/internal/daemon/listservice.go
@@ -105,7 +105,7 @@
 		return fmt.Errorf("the list service answered %d", r.Status)
 	}
 	entries, err := parseList(doc)
-	if err == nil && len(entries) == 0 && l.tag != "" {
+	if err == nil && len(entries) == 0 {
 		err = fmt.Errorf("no host is listed")
 	}
 	if err == nil {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -214,6 +214,7 @@
 func (c *conn) attach(b byte) {
 	r := c.server.readers.Get().(*reader)
 	r.buf.Reset(io.MultiReader(strings.NewReader(string([]byte{b})), c))
+	r.buf.Peek(1) // into the buffer, so that it counts as buffered
 	c.reader = r
 }
 
--- a/steward/list.go
+++ b/steward/list.go
@@ -45,7 +45,7 @@
 
 // CheckAddress tells what is wrong with an address:port, if anything.
 func CheckAddress(host string) error {
-	if _, err := netip.ParseAddrPort(host); err == nil {
+	if a, err := netip.ParseAddrPort(host); err == nil && a.Port() > 0 {
 		return nil
 	}
 	at := strings.LastIndexByte(host, ':')
@@ -104,6 +104,11 @@
 		s.enter(sorted)
 		s.module.WholeList(false)
 		s.enter(sorted)
+		for _, m := range s.members.byIndex { // until now an empty table was not told, see view
+			if m != nil && len(m.versions) > 0 {
+				s.channel.order(m, 1, false, mark{round: s.tables.round})
+			}
+		}
 		return
 	}
 	s.module.ListChange()
--- /dev/null
+++ b/steward/steward_test.go
@@ -0,0 +1,377 @@
+package steward
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"runtime"
+	"testing"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"pgregory.net/rapid"
+
+	"barleysail/decide"
+)
+
+// A proxy joins, holds a poll, and gets what changed as a delta onto what it holds.
+func TestLongPoll(t *testing.T) {
+	d := open(t, settings())
+	d.list(d.hosts(2))
+	d.say("a proxy joins")
+	d.poll(Query{Proxy: "p", Wait: 30000, Delta: true})
+	d.run(100)
+	d.say("without the preference to wait: nothing new, at once")
+	d.poll(Query{Proxy: "p", Tags: []string{"L-1"}, Wait: -1})
+	d.say("it waits; a host drains")
+	d.poll(Query{Proxy: "p", Tags: []string{"L-1"}, Wait: 30000, Delta: true})
+	d.run(500)
+	list := d.hosts(2)
+	list[1].Phase = decide.Draining
+	d.list(list)
+	d.run(500)
+	d.say("the same without deltas, onto a tag of the history: the whole")
+	d.poll(Query{Proxy: "p", Tags: []string{"L-1"}, Wait: 30000})
+	d.say("onto a tag of another life, and onto one that was never given: the whole")
+	d.poll(Query{Proxy: "p", Tags: []string{"K-1"}, Wait: 30000, Delta: true})
+	d.poll(Query{Proxy: "p", Tags: []string{"L-9"}, Wait: 30000, Delta: true})
+	d.say("whatever there is will do: held for 2 s")
+	d.poll(Query{Proxy: "p", Any: true, Wait: 2000})
+	d.run(2500)
+	d.check()
+}
+
+// Of two polls for a proxy the later one stays, and the earlier is answered at once. A version is acknowledged
+// once, whatever tags come after.
+func TestTwoPolls(t *testing.T) {
+	d := open(t, settings())
+	d.list(d.hosts(2))
+	d.poll(Query{Proxy: "p", Wait: 30000})
+	d.run(100)
+	d.poll(Query{Proxy: "p", Tags: []string{"L-1"}, Wait: 30000})
+	d.run(50)
+	d.say("a second poll")
+	d.poll(Query{Proxy: "p", Tags: []string{"L-1"}, Wait: 30000})
+	d.say("acked %d, marks left %d", d.members.byName["p"].acked, len(d.members.byName["p"].versions[0].marks))
+	d.say("the caller of the first is gone: nothing happens; of the second: the proxy has to poll again")
+	d.PollGone(d.at, "p", 2)
+	d.say("held %d", d.Status(d.at).Polls)
+	d.PollGone(d.at, "p", 3)
+	d.say("held %d joined %d", d.Status(d.at).Polls, d.Status(d.at).Joined)
+	d.run(5100)
+	d.say("joined %d", d.Status(d.at).Joined)
+	d.check()
+}
+
+// A proxy that comes back after it left gets a fresh stay: its old tag names nothing.
+func TestComesBack(t *testing.T) {
+	d := open(t, settings())
+	d.list(d.hosts(2))
+	d.poll(Query{Proxy: "p", Wait: 30000})
+	d.run(100)
+	d.say("leaves: %v, again: %v", d.Leave(d.at, "p", d), d.Leave(d.at, "p", d))
+	d.run(100)
+	d.poll(Query{Proxy: "p", Tags: []string{"L-1"}, Wait: 30000, Delta: true})
+	d.run(100)
+	d.say("in another zone it is another stay")
+	d.poll(Query{Proxy: "p", Zone: "b", Tags: []string{"L-2"}, Wait: 30000, Delta: true})
+	d.run(100)
+	d.check()
+}
+
+// A steward without a list orders no hosts, not even none: a proxy keeps what it brought. With the first list
+// it does.
+func TestNoList(t *testing.T) {
+	set := settings()
+	set.MustAsk = true
+	d := open(t, set)
+	d.run(100)
+	d.poll(Query{Proxy: "p", Wait: -1})
+	d.run(1000)
+	d.say("the list cannot be had")
+	d.ListFailed(d.at)
+	d.run(1000)
+	d.list(d.hosts(1))
+	d.poll(Query{Proxy: "p", Tags: []string{"L-1"}, Wait: 5000, Delta: true})
+	d.run(1000)
+	d.check()
+}
+
+// A delta never fits another base, and any of the history onto any later version gives that version.
+func TestDeltasGiveTheWhole(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		d := open(t, settings())
+		list := d.hosts(6)
+		d.list(list)
+		docs := map[string][]byte{}
+		tags := []string{}
+		for range rapid.IntRange(2, 12).Draw(r, "rounds") {
+			id := d.poll(Query{Proxy: "p", Wait: -1, Tags: tags})
+			d.run(400)
+			whole := d.poll(Query{Proxy: "p", Wait: -1})
+			a := d.answers[whole]
+			docs[a.Tag] = a.Body()
+			tags = append(tags, a.Tag)
+			base := rapid.SampledFrom(tags).Draw(r, "base")
+			id = d.poll(Query{Proxy: "p", Wait: -1, Tags: []string{base}, Delta: true})
+			got := d.answers[id]
+			body := got.Body()
+			switch got.Kind {
+			case Same:
+				body = docs[base]
+			case Delta:
+				if got.Base != base {
+					r.Fatalf("a delta onto %s for a proxy that holds %s", got.Base, base)
+				}
+				var err error
+				if body, err = jsonpatch.MergePatch(docs[base], body); err != nil {
+					r.Fatal(err)
+				}
+			}
+			var x, y any
+			if json.Unmarshal(body, &x) != nil || json.Unmarshal(docs[a.Tag], &y) != nil || !reflect.DeepEqual(x, y) {
+				r.Fatalf("from %s: %s\nnot %s", base, body, docs[a.Tag])
+			}
+			for i := range list {
+				list[i].Phase = rapid.SampledFrom([]decide.Phase{decide.Ready, decide.Draining}).Draw(r, "phase")
+				list[i].Weight = rapid.Float64Range(0.5, 2).Draw(r, "weight")
+			}
+			d.list(list[:rapid.IntRange(1, 6).Draw(r, "listed")])
+			d.run(3000)
+		}
+	})
+}
+
+// Refused inputs leave everything as it was.
+func TestRefused(t *testing.T) {
+	d := open(t, settings())
+	d.list(d.hosts(2))
+	for _, list := range [][]Entry{
+		{{Host: "nonsense", Zone: "a", Phase: decide.Ready}}, {{Host: "10.0.0.1:0", Zone: "a", Phase: decide.Ready}},
+		{{Host: "10.0.0.999:80", Zone: "a", Phase: decide.Ready}},
+		{{Host: "10.0.0.1:99999", Zone: "a", Phase: decide.Ready}}, {{Host: "a b:80", Zone: "a", Phase: decide.Ready}},
+		{{Host: "box-1.addis:80", Zone: "c", Phase: decide.Ready}}, {{Host: "[::1]:80", Zone: "a"}},
+		{{Host: "h:1", Zone: "a", Phase: decide.Ready}, {Host: "h:1", Zone: "b", Phase: decide.Ready}},
+		{{Host: "h:1", Zone: "a", Phase: decide.Ready, Weight: math.NaN()}}, {{Host: "h:1", Zone: "a", Phase: decide.Ready, Weight: -1}},
+		{{Host: "h:1", Zone: "a", Phase: decide.Ready, Started: math.Inf(1)}},
+	} {
+		d.say("list refused: %v", d.Listed(d.at, list))
+	}
+	d.say("%d hosts", d.Status(d.at).Hosts)
+	for _, q := range []Query{{Proxy: "", Zone: "a"}, {Proxy: "a/b", Zone: "a"}, {Proxy: "p", Zone: "c"}, {Proxy: "p", Rate: -1}, {Proxy: "p", Rate: math.NaN()}} {
+		d.poll(q)
+	}
+	_, err := d.Sums(d.at, "p", Sums{Number: 1})
+	d.say("sums of a proxy that has not joined: %v, %v", err, errors.Is(err, ErrNotJoined))
+	d.poll(Query{Proxy: "p", Wait: 30000})
+	load, good := decide.NoLoad, HostSums{Tries: 3, Failed: 1, Mean: 20, Span: 1000, Load: decide.NoLoad}
+	load.Util = math.NaN()
+	for _, u := range []Sums{
+		{Number: 0}, {Number: 1, Hosts: map[string]HostSums{"10.9.9.9:80": good}},
+		{Number: 1, Hosts: map[string]HostSums{"10.0.0.1:80": {Tries: 1, Failed: 2, Span: 1}}},
+		{Number: 1, Hosts: map[string]HostSums{"10.0.0.0:80": {Tries: -1, Failed: -1, Span: 1}}},
+		{Number: 1, Hosts: map[string]HostSums{"10.0.0.0:80": {Tries: 1, Mean: math.Inf(1), Span: 1}}},
+		{Number: 1, Hosts: map[string]HostSums{"10.0.0.0:80": {Tries: 1, Mean: 1}}},
+		{Number: 1, Hosts: map[string]HostSums{"10.0.0.0:80": {Tries: 1, Mean: 1, Span: 1, Load: load}}},
+		{Number: 1, Usage: map[string]ClassUsage{"nothing": {Came: 1, Span: 1}}},
+		{Number: 1, Usage: map[string]ClassUsage{"sheet": {Came: 1, Unanswered: 2, Span: 1}}},
+	} {
+		counted, err := d.Sums(d.at, "p", u)
+		d.say("sums counted %v: %v", counted, err)
+	}
+	d.check()
+}
+
+// Sums are counted once for each number; a sender that starts over begins anew.
+func TestSumsOnce(t *testing.T) {
+	d := open(t, settings())
+	d.list(d.hosts(1))
+	d.poll(Query{Proxy: "p", Wait: 30000})
+	d.run(100)
+	for _, u := range []Sums{{Sender: "x", Number: 1}, {Sender: "x", Number: 1}, {Sender: "x", Number: 3}, {Sender: "x", Number: 2}, {Sender: "y", Number: 1}} {
+		u.Hosts = map[string]HostSums{"10.0.0.0:80": {Tries: 10, Mean: 20, Span: 1000, Load: decide.NoLoad}}
+		counted, err := d.Sums(d.at, "p", u)
+		d.say("sums %s %d: counted %v, %v", u.Sender, u.Number, counted, err)
+	}
+	d.check()
+}
+
+// Removals leave the channel before weights, a proxy's message takes in what is ordered while it waits, and the
+// answer to a later mark is held back until what was ordered before has left.
+func TestChannel(t *testing.T) {
+	d := open(t, settings())
+	c := newChannel(decide.Channel{LinesPerS: 1000, Head: 5, MessagesMost: 2, MessagesOver: 1000})
+	one, two, three := &member{name: "one"}, &member{name: "two"}, &member{name: "three"}
+	c.order(one, 10, false, mark{1, 1})
+	c.order(two, 10, false, mark{1, 1})
+	c.order(three, 10, false, mark{1, 1})
+	d.say("waiting %.0f lines in %d messages", c.waiting(), c.messages())
+	c.order(three, 3, true, mark{2, 2})
+	d.say("a removal for three: waiting %.0f in %d, oldest round %d", c.waiting(), c.messages(), c.oldest())
+	for range 4 {
+		g := c.pick(0)
+		if g == nil {
+			d.say("nothing")
+			continue
+		}
+		d.say("%s leaves with %.0f lines and marks %v", g.to.name, g.lines, g.marks)
+		g.to.message = nil
+		c.lines -= g.lines + c.head
+		g.to.sent = append(g.to.sent, 0)
+	}
+	d.say("waiting %.0f in %d, oldest none: %v", c.waiting(), c.messages(), c.oldest() == math.MaxInt64)
+	c.order(one, 1, false, mark{3, 3})
+	one.sent = append(one.sent, 0)
+	c.order(two, 1, false, mark{3, 3})
+	d.say("one has had two messages, as many as it may: %s goes", c.pick(1).to.name)
+	c.drop(two)
+	d.say("two leaves: waiting %.0f in %d, next at %.0f", c.waiting(), c.messages(), c.next())
+	d.say("after a second: %s", c.pick(1000).to.name)
+	d.check()
+}
+
+// The answer to a mark counts only when all that was ordered before it has left.
+func TestAnswersInOrder(t *testing.T) {
+	d := open(t, settings())
+	d.list(d.hosts(2))
+	d.poll(Query{Proxy: "p", Wait: 30000})
+	d.poll(Query{Proxy: "q", Wait: 30000})
+	d.run(100)
+	m := d.members.byName["q"]
+	d.channel.order(m, 5, false, mark{d.tables.round, 77})
+	d.answered.early = append(d.answered.early, mark{d.tables.round + 1, 78})
+	d.tellAnswers()
+	d.say("while a message of an earlier round waits: %d held back", len(d.answered.early))
+	d.run(100)
+	d.say("after it left: %d held back", len(d.answered.early))
+	d.check()
+}
+
+// A host that is gone is forgotten when no table names it, and its index is given to another; a host that
+// comes back without a start has started now.
+func TestForget(t *testing.T) {
+	d := open(t, settings())
+	d.list(d.hosts(3))
+	d.poll(Query{Proxy: "p", Wait: 60000})
+	d.run(200)
+	d.poll(Query{Proxy: "p", Tags: []string{"L-1"}, Wait: 60000, Delta: true})
+	d.list(d.hosts(2))
+	d.run(1000)
+	d.poll(Query{Proxy: "p", Tags: []string{"L-2"}, Wait: 60000, Delta: true})
+	d.say("indices %d", d.Status(d.at).IndicesInUse)
+	d.run(60000)
+	d.say("indices %d", d.Status(d.at).IndicesInUse)
+	list := append(d.hosts(2), Entry{Host: "new.addis:80", Zone: "b", Phase: decide.Ready, Weight: 1})
+	d.list(list)
+	d.say("the new host has index %d", d.Steward.hosts.of["new.addis:80"])
+	d.run(100)
+	d.check()
+}
+
+// A steward runs for months: what it keeps stays bounded while hosts are replaced and proxies come and go.
+func TestChurnIsBounded(t *testing.T) {
+	before, after, st := churn(t, 3000)
+	if st.IndicesInUse > 40 || after > before+4<<20 {
+		t.Errorf("%d indices in use, heap %d to %d bytes", st.IndicesInUse, before, after)
+	}
+}
+
+// churn replaces hosts and lets proxies join and leave, n times each.
+func churn(t testing.TB, n int) (before, after uint64, st Status) {
+	set := settings()
+	set.ForgetAfter = 1000
+	d := &desk{at: 1000, answers: map[int64]Answer{}}
+	d.Steward = New(set.Fleet, set.classes, set.channel, set.guard, decide.Goal{Whole: 1}, set.Polls)
+	d.t = &testing.T{}
+	list := d.hosts(20)
+	d.list(list)
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for i := range n {
+		if i == n/10 {
+			before = heap()
+		}
+		list[i%len(list)].Host = fmt.Sprintf("10.%d.%d.%d:80", i>>16+1, i>>8&255, i&255)
+		d.list(list)
+		p := fmt.Sprintf("p%d", i)
+		d.poll(Query{Proxy: p, Wait: 30000})
+		d.run(50)
+		d.poll(Query{Proxy: p, Wait: 30000, Tags: []string{fmt.Sprintf("L-%d", d.members.number)}})
+		d.run(50)
+		if i%2 == 0 {
+			d.Leave(d.at, p, d)
+		}
+		clear(d.answers)
+		d.trace.Reset()
+	}
+	after = heap()
+	return before, after, d.Status(d.at)
+}
+
+func BenchmarkChurn(b *testing.B) {
+	for range b.N {
+		before, after, st := churn(b, 100000)
+		b.ReportMetric(float64(before)/1024, "KiB-before")
+		b.ReportMetric(float64(after)/1024, "KiB-after")
+		b.ReportMetric(float64(st.IndicesInUse), "indices")
+	}
+}
+
+// largest is a steward at the size of the largest deployment, all proxies joined and bound.
+func largest() (*desk, []Entry) {
+	set := settings()
+	set.Fleet.Proxies, set.channel.LinesPerS, set.channel.MostWaiting = 607, 1e6, 1e6
+	set.channel.MessagesMost = 0
+	d := &desk{at: 1000, answers: map[int64]Answer{}, t: &testing.T{}}
+	d.Steward = New(set.Fleet, set.classes, set.channel, set.guard, decide.Goal{Whole: 1}, set.Polls)
+	var list []Entry
+	for i := range 506 {
+		list = append(list, Entry{Host: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: set.Zones[i%2], Phase: decide.Ready, Weight: 1})
+	}
+	d.list(list)
+	for i := range 607 {
+		d.poll(Query{Proxy: fmt.Sprint("p", i), Wait: 60000})
+	}
+	d.run(2000)
+	return d, list
+}
+
+// BenchmarkRounds measures rounds of decisions while sums of 20 hosts a second come from every proxy.
+func BenchmarkRounds(b *testing.B) {
+	d, list := largest()
+	b.ResetTimer()
+	for n := range b.N {
+		b.StopTimer()
+		for i := range 607 / 5 {
+			hosts := map[string]HostSums{}
+			for k := range 20 {
+				hosts[list[(i*20+n*7+k)%len(list)].Host] = HostSums{Tries: 4, Mean: 100 + float64(k), Span: 1000, Load: decide.Load{Util: 0.5, Rate: -1, Queue: -1}}
+			}
+			d.Sums(d.at, fmt.Sprint("p", (n%5)*121+i), Sums{Number: int64(n + 1), Hosts: hosts})
+		}
+		b.StartTimer()
+		d.run(200)
+		d.trace.Reset()
+	}
+}
+
+// BenchmarkSums measures the intake of one proxy's sums of 20 hosts.
+func BenchmarkSums(b *testing.B) {
+	d, list := largest()
+	hosts := map[string]HostSums{}
+	for k := range 20 {
+		hosts[list[k].Host] = HostSums{Tries: 4, Mean: 100, Span: 1000, Load: decide.Load{Util: 0.5, Rate: -1, Queue: -1}}
+	}
+	b.ResetTimer()
+	b.ReportAllocs()
+	for n := range b.N {
+		if _, err := d.Sums(d.at, "p1", Sums{Number: int64(n + 1), Hosts: hosts}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/steward/sums.go
+++ b/steward/sums.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 
 	"barleysail/decide"
@@ -66,9 +65,18 @@
 	return true, nil
 }
 
-func within(field string, x, least, most float64) error {
-	if !(x >= least && x <= most) || math.IsNaN(x) {
-		return refuse(field, "%g is not from %g to %g", x, least, most)
+// bound is a figure of the sums with what it may be.
+type bound struct {
+	name           string
+	x, least, most float64
+}
+
+// check refuses the first figure out of its bounds; the name of what it belongs to is put together only then.
+func check(what, name string, all ...bound) error {
+	for _, b := range all {
+		if !(b.x >= b.least && b.x <= b.most) {
+			return refuse(fmt.Sprintf("%s[%q].%s", what, name, b.name), "%g is not from %g to %g", b.x, b.least, b.most)
+		}
 	}
 	return nil
 }
@@ -82,38 +90,25 @@
 			return err
 		}
 	}
-	for _, host := range slices.Sorted(maps.Keys(u.Hosts)) {
-		v, field := u.Hosts[host], fmt.Sprintf("hosts[%q]", host)
+	// Of several faults any one is told: going through them in order would cost more than all else.
+	for host, v := range u.Hosts {
 		if _, ok := s.hosts.of[host]; !ok {
-			return refuse(field, "the host is not on the list")
+			return refuse(fmt.Sprintf("hosts[%q]", host), "the host is not on the list")
 		}
-		if v.Failed > v.Tries {
-			return refuse(field+".failed", "%d of %d tries", v.Failed, v.Tries)
-		}
-		for _, f := range []struct {
-			name           string
-			x, least, most float64
-		}{{"tries", float64(v.Tries), 0, mostTries}, {"failed", float64(v.Failed), 0, mostTries},
-			{"mean", v.Mean, 0, mostSpan}, {"span", v.Span, 1, mostSpan}, {"load.util", v.Load.Util, -1, mostLoad},
-			{"load.rate", v.Load.Rate, -1, mostLoad}, {"load.queue", v.Load.Queue, -1, mostLoad}} {
-			if err := within(field+"."+f.name, f.x, f.least, f.most); err != nil {
-				return err
-			}
+		if err := check("hosts", host, bound{"tries", float64(v.Tries), 0, mostTries},
+			bound{"failed", float64(v.Failed), 0, float64(v.Tries)}, bound{"mean", v.Mean, 0, mostSpan},
+			bound{"span", v.Span, 1, mostSpan}, bound{"load.util", v.Load.Util, -1, mostLoad},
+			bound{"load.rate", v.Load.Rate, -1, mostLoad}, bound{"load.queue", v.Load.Queue, -1, mostLoad}); err != nil {
+			return err
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(u.Usage)) {
-		v, field := u.Usage[name], fmt.Sprintf("usage[%q]", name)
+	for name, v := range u.Usage {
 		if _, ok := s.class[name]; !ok {
-			return refuse(field, "the class is not in the settings")
+			return refuse(fmt.Sprintf("usage[%q]", name), "the class is not in the settings")
 		}
-		for _, f := range []struct {
-			name           string
-			x, least, most float64
-		}{{"came", float64(v.Came), 0, mostTries}, {"unanswered", float64(v.Unanswered), 0, float64(v.Came)},
-			{"span", v.Span, 1, mostSpan}} {
-			if err := within(field+"."+f.name, f.x, f.least, f.most); err != nil {
-				return err
-			}
+		if err := check("usage", name, bound{"came", float64(v.Came), 0, mostTries},
+			bound{"unanswered", float64(v.Unanswered), 0, float64(v.Came)}, bound{"span", v.Span, 1, mostSpan}); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/steward/view.go
+++ b/steward/view.go
@@ -29,7 +29,7 @@
 // view makes the view of a proxy's present tables, or finds the one of the other proxies with the same table.
 func (s *Steward) view(m *member) *View {
 	numbers := distinct(m.tables)
-	whole := len(numbers) == 1 && !slices.Contains(m.tables, -1)
+	whole := len(numbers) == 1 && !slices.Contains(m.tables, -1) && s.list.known
 	if whole {
 		if v := s.tables.table(m.tables[0]).view; v != nil {
 			return v
@@ -41,7 +41,9 @@
 		c := classView{name: s.classes[k].Name, level: s.tables.both(level{}, s.tables.levels[k])}
 		if n >= 0 {
 			b := s.tables.table(n)
-			c.bound, c.lines, c.level = true, s.lines(b), s.tables.both(b.levels[k], s.tables.levels[k])
+			c.lines, c.level = s.lines(b), s.tables.both(b.levels[k], s.tables.levels[k])
+			// A steward that knows no list yet must not empty the tables that a proxy brings.
+			c.bound = s.list.known || len(c.lines) > 0
 		}
 		v.classes[k] = c
 	}
