--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -329,8 +329,14 @@
 	w.WriteString("\r\nDate: ")
 	w.WriteString(c.server.config.Now().UTC().Format("Mon, 02 Jan 2006 15:04:05 GMT"))
 	w.WriteString("\r\n")
-	for name, values := range r.Header {
-		for _, v := range values {
+	var some [8]string
+	names := some[:0]
+	for name := range r.Header {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for _, v := range r.Header[name] {
 			w.WriteString(name)
 			w.WriteString(": ")
 			w.WriteString(v)
