Send stand-in transactions by POST: net/http repeated a GET itself, and effects came twice

Cause: Go's net/http sends a GET again by itself when a kept connection breaks before the answer, so a transaction that must not run twice ran at two hosts; no order of the steward was involved. Change: POST, and the client's documentation says so. Benchmarks of the front are added.

--- a/client/client.go
+++ b/client/client.go
@@ -2,6 +2,9 @@
 // picks hosts by weight, tries again as the tables say, and sends the steward sums of what it met. It sends
 // no transaction itself; the proxy gives Do a function that makes a try at a host.
 //
+// The function must make one try and no more. Go's net/http repeats a GET by itself when a kept connection
+// breaks, so a transaction that must not run twice is not sent by GET through it.
+//
 // When no steward answers the proxy goes on by its last tables, and before the first ones by the standing
 // hosts it was given.
 package client
--- /dev/null
+++ b/internal/daemon/bench_test.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"barleysail/decide"
+	"barleysail/internal/config"
+	"barleysail/steward"
+)
+
+// running starts a daemon for a benchmark, its list given by hand.
+func running(b *testing.B, hosts int) (*Daemon, []steward.Entry) {
+	b.Helper()
+	var list []steward.Entry
+	for i := range hosts {
+		list = append(list, steward.Entry{Host: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: "a", Phase: decide.Ready, Weight: 1})
+	}
+	cfg, err := config.Parse("bench", []byte(strings.ReplaceAll(strings.Replace(base, "channel {", "channel { messages_most: 0 ", 1), "1000000", "1000000000")+`list { url: "http://127.0.0.1:1/" } fleet { proxies: 5000 }
+		polls { leave_after_ms: 60000 }`))
+	if err != nil {
+		b.Fatal(err)
+	}
+	d, err := Start(cfg, "bench", zerolog.Nop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(d.Kill)
+	if err := d.core.listed(list); err != nil {
+		b.Fatal(err)
+	}
+	return d, list
+}
+
+// poller polls on a connection of its own.
+type poller struct {
+	c    net.Conn
+	in   *bufio.Reader
+	name int
+	tag  string
+}
+
+func (p *poller) ask(extra string) {
+	fmt.Fprintf(p.c, "GET /v1/proxies/p%d/tables?zone=a HTTP/1.1\r\nHost: a\r\nIf-None-Match: %s\r\n%s\r\n", p.name, p.tag, extra)
+}
+
+func (p *poller) take() (status, bytes int, err error) {
+	r, err := http.ReadResponse(p.in, nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	n, err := io.Copy(io.Discard, r.Body)
+	r.Body.Close()
+	p.tag = r.Header.Get("Etag")
+	return r.StatusCode, int(n), err
+}
+
+func pollers(b *testing.B, d *Daemon, n int) []*poller {
+	var all []*poller
+	for i := range n {
+		c, err := net.Dial("tcp", d.Addr())
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { c.Close() })
+		all = append(all, &poller{c: c, in: bufio.NewReaderSize(c, 512), name: i})
+	}
+	var wait sync.WaitGroup
+	for _, p := range all {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			p.ask("")
+			for status := 0; status != 304; { // until it holds what it is to hold
+				if status, _, _ = p.take(); status != 304 {
+					p.ask("Prefer: wait=1\r\n")
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	return all
+}
+
+// BenchmarkDelivery measures the time from a changed list to the delta at each of the proxies that hold a poll.
+func BenchmarkDelivery(b *testing.B) {
+	for _, n := range []int{1000, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d, list := running(b, 400)
+			all := pollers(b, d, n)
+			var took []float64
+			for i := range b.N {
+				for _, p := range all {
+					p.ask("A-IM: merge-patch\r\nPrefer: wait=60\r\n")
+				}
+				for d.core.status().Polls < n {
+					time.Sleep(time.Millisecond)
+				}
+				list[i%400].Phase = 3 - list[i%400].Phase // ready or draining
+				var mu sync.Mutex
+				var wait sync.WaitGroup
+				start := time.Now()
+				for _, p := range all {
+					wait.Add(1)
+					go func() {
+						defer wait.Done()
+						if status, _, err := p.take(); err != nil || status != 226 {
+							b.Errorf("status %d, %v", status, err)
+						}
+						mu.Lock()
+						took = append(took, time.Since(start).Seconds()*1000)
+						mu.Unlock()
+					}()
+				}
+				d.core.listed(list)
+				wait.Wait()
+			}
+			sort.Float64s(took)
+			b.ReportMetric(took[len(took)/2], "ms-median")
+			b.ReportMetric(took[len(took)*99/100], "ms-p99")
+		})
+	}
+}
+
+// BenchmarkHeldPoll measures what a held poll costs in memory.
+func BenchmarkHeldPoll(b *testing.B) {
+	for range b.N {
+		d, _ := running(b, 400)
+		all := pollers(b, d, 2000)
+		read := func() float64 {
+			runtime.GC()
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			return float64(m.HeapInuse + m.StackInuse)
+		}
+		before := read()
+		for _, p := range all {
+			p.ask("Prefer: wait=60\r\n")
+		}
+		for d.core.status().Polls < len(all) {
+			time.Sleep(time.Millisecond)
+		}
+		b.ReportMetric((read()-before)/float64(len(all)), "B/held-poll")
+	}
+}
+
+// BenchmarkBytes compares a delta of one line with the whole at 400 hosts.
+func BenchmarkBytes(b *testing.B) {
+	d, list := running(b, 400)
+	p := pollers(b, d, 1)[0]
+	for range b.N {
+		p.ask("A-IM: merge-patch\r\nPrefer: wait=60\r\n")
+		for d.core.status().Polls < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		list[7].Phase = 3 - list[7].Phase
+		d.core.listed(list)
+		_, delta, _ := p.take()
+		p.tag = ""
+		p.ask("")
+		_, whole, _ := p.take()
+		b.ReportMetric(float64(delta), "B-delta")
+		b.ReportMetric(float64(whole), "B-whole")
+	}
+}
+
+// BenchmarkNotModified measures a poll that ends in 304 at once: time, and allocations of server and steward.
+func BenchmarkNotModified(b *testing.B) {
+	d, _ := running(b, 400)
+	p := pollers(b, d, 1)[0]
+	request := fmt.Appendf(nil, "GET /v1/proxies/p0/tables?zone=a HTTP/1.1\r\nHost: a\r\nIf-None-Match: %s\r\n\r\n", p.tag)
+	buf := make([]byte, 4096)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		p.c.Write(request)
+		n, err := p.c.Read(buf)
+		if err != nil || string(buf[9:12]) != "304" {
+			b.Fatalf("%s %v", buf[:n], err)
+		}
+	}
+}
--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -189,7 +189,8 @@
 }
 
 func (f *Forwarder) try(ctx context.Context, host string, t Traffic, id string, work float64) client.Try {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet,
+	// POST, since net/http repeats a GET by itself when a connection breaks: the effect might come twice.
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		fmt.Sprintf("http://%s/t/%s?id=%s&work=%.3f", host, t.Class, id, work), nil)
 	if err != nil {
 		return client.Try{Result: client.NeverRan, Err: err}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -31,7 +31,7 @@
 	Once           map[string]bool // classes whose repeats are dropped by their key
 }
 
-// Host serves transactions: GET /t/CLASS?id=ID&work=MS, with the proxy's name in the field Proxy. GET /health
+// Host serves transactions: POST /t/CLASS?id=ID&work=MS, with the proxy's name in the field Proxy. GET /health
 // is answered beside the queue.
 type Host struct {
 	Address string
@@ -72,7 +72,7 @@
 
 func (h *Host) serve(l net.Listener) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /t/{class}", h.transaction)
+	mux.HandleFunc("POST /t/{class}", h.transaction)
 	mux.HandleFunc("GET /health", h.health)
 	server := &http.Server{Handler: mux}
 	h.mu.Lock()
