--- a/client/client.go
+++ b/client/client.go
@@ -42,6 +42,23 @@
 	Err     error
 }
 
+// Transaction is what became of one, with its tries in order.
+type Transaction struct {
+	Class     string
+	Came      time.Time
+	LetIn     bool
+	Tries     []Attempt
+	Fulfilled bool
+}
+
+// Attempt is a try with its host and times.
+type Attempt struct {
+	Host   string
+	Began  time.Time
+	Took   time.Duration
+	Result Result
+}
+
 // Options of a Client. Stewards, Proxy and Zone are needed.
 type Options struct {
 	Stewards []string // base URLs; the first is tried first, the next ones where it does not answer
@@ -60,6 +77,9 @@
 	Shuns   time.Duration // the host is not picked for so long: 5 s
 	Repeats []string      // classes that may run twice; others are tried again only after proof of NeverRan
 
+	Ended   func(Transaction) // told of each transaction as it ends, for a recording; nil: nobody
+	Applied func(tag string)  // told of each version of the tables that the proxy goes by from then on
+
 	Log func(text string) // a line for each change: tables lost, steward changed; nil: none
 	Now func() time.Time  // nil: time.Now
 }
@@ -213,9 +233,21 @@
 	letIn := t.Share >= 1 || c.chance() < t.Share
 	c.sums.came(class)
 	c.mu.Unlock()
-	if !letIn {
-		return ErrNotLetIn
+	x := Transaction{Class: class, Came: c.o.Now(), LetIn: letIn}
+	err := error(ErrNotLetIn)
+	if letIn {
+		err = c.carry(ctx, class, t.Tries, &x, try)
+	}
+	x.Fulfilled = err == nil
+	if c.o.Ended != nil {
+		c.o.Ended(x)
 	}
+	return err
+}
+
+// carry makes the tries of a transaction that was let in.
+func (c *Client) carry(ctx context.Context, class string, tries int, x *Transaction,
+	try func(ctx context.Context, host string) Try) error {
 	var tried []string
 	for {
 		c.mu.Lock()
@@ -227,12 +259,14 @@
 		}
 		began := c.o.Now()
 		r := try(ctx, host)
-		c.met(host, r, c.o.Now().Sub(began))
+		took := c.o.Now().Sub(began)
+		x.Tries = append(x.Tries, Attempt{host, began, took, r.Result})
+		c.met(host, r, took)
 		if r.Result == Fulfilled {
 			return nil
 		}
 		tried = append(tried, host)
-		if ctx.Err() != nil || !c.again(class, t.Tries, len(tried), r.Result) {
+		if ctx.Err() != nil || !c.again(class, tries, len(tried), r.Result) {
 			c.lost(class)
 			if r.Err == nil {
 				r.Err = errors.New("no good answer")
--- a/client/run.go
+++ b/client/run.go
@@ -116,6 +116,9 @@
 		c.held.tag = "" // ask for the whole
 		return err
 	}
+	if c.o.Applied != nil && c.held.tag != tag {
+		c.o.Applied(strings.Trim(c.held.tag, `"`))
+	}
 	if !c.joined {
 		c.joined = true
 		c.o.Log("joined steward " + steward)
--- a/cmd/barleysail/replay.go
+++ b/cmd/barleysail/replay.go
@@ -58,26 +58,65 @@
 }
 
 func replayCommand() *cobra.Command {
-	return &cobra.Command{Use: "replay DAY...", Short: "Replay recorded days with the setting they were recorded with",
+	w := &whatIf{}
+	c := &cobra.Command{Use: "replay DAY...", Short: "Replay recorded days, with their own setting or with another",
 		Long: "Replays each day through the library and compares its answers with the record, byte for byte.\n" +
-			"The first difference is told with its time, proxy, host and both values, and the inputs since the last agreement.",
+			"The first difference is told with its time, proxy, host and both values, and the inputs since the last agreement.\n\n" +
+			"With --set or --config the recorded arrivals go by the tables of another setting, and service and rules are set\n" +
+			"beside those of the recorded setting. For this the recordings of stewards and proxies are needed, or their folder.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			parted := 0
-			for _, name := range args {
-				same, err := again(c.OutOrStdout(), name)
-				if err != nil {
-					return fmt.Errorf("%s: %w", name, err)
-				}
-				if !same {
-					parted++
-				}
+			if w.wanted() {
+				return w.run(c.OutOrStdout(), args)
 			}
-			if parted > 0 {
-				return fmt.Errorf("%d of %d days parted from their record", parted, len(args))
-			}
-			return nil
+			return sameAgain(c.OutOrStdout(), args)
 		}}
+	c.Flags().StringArrayVar(&w.set, "set", nil, "FIELD=VALUE of the configuration, as in guard.grace_ms=2000; repeatable")
+	c.Flags().StringVar(&w.config, "config", "", "another configuration")
+	c.Flags().StringVar(&w.plot, "plot", "", "draw both days to this file, .svg or .png")
+	c.Flags().BoolVar(&w.json, "json", false, "as JSON")
+	c.Flags().Float64Var(&w.fall, "fall-ms", 3000, "a cold host pushed for so long falls over")
+	return c
+}
+
+// sameAgain replays stewards' recordings with their own setting.
+func sameAgain(out io.Writer, names []string) error {
+	names, err := files(names)
+	if err != nil {
+		return err
+	}
+	parted, n := 0, 0
+	for _, name := range names {
+		if proxy, err := isProxy(name); err != nil || proxy {
+			continue
+		}
+		n++
+		same, err := again(out, name)
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		if !same {
+			parted++
+		}
+	}
+	if n == 0 {
+		return errors.New("no steward's recording is among them")
+	}
+	if parted > 0 {
+		return fmt.Errorf("%d of %d days parted from their record", parted, n)
+	}
+	return nil
+}
+
+// isProxy tells whether a recording is a proxy's own.
+func isProxy(name string) (bool, error) {
+	d, err := openDay(name)
+	if err != nil {
+		return false, err
+	}
+	defer d.file.Close()
+	r, err := d.Next()
+	return err == nil && r.GetProxyStart() != nil, nil
 }
 
 func again(out io.Writer, name string) (bool, error) {
@@ -153,6 +192,8 @@
 		}
 		if s := r.GetStart(); s != nil {
 			program = s.Program
+		} else if s := r.GetProxyStart(); s != nil {
+			program = s.Program
 		}
 		last = r.At
 	}
--- a/steward/dues.go
+++ b/internal/core/dues.go
@@ -1,12 +1,13 @@
-package steward
+// Package core holds what several decision modules keep their work in.
+package core
 
 import (
 	"container/heap"
 	"math"
 )
 
-// dues keeps things by the time they are due; of those due at one time the first added comes first.
-type dues[T any] struct {
+// Dues keeps things by the time they are due; of those due at one time the first added comes first.
+type Dues[T any] struct {
 	heap  dueHeap[T]
 	count int64
 }
@@ -17,20 +18,22 @@
 	what  T
 }
 
-func (d *dues[T]) add(at float64, what T) {
+// Add keeps a thing until its time.
+func (d *Dues[T]) Add(at float64, what T) {
 	d.count++
 	heap.Push(&d.heap, due[T]{at, d.count, what})
 }
 
-// pop takes the first thing that is due by now.
-func (d *dues[T]) pop(now float64) (what T, ok bool) {
+// Pop takes the first thing that is due by now.
+func (d *Dues[T]) Pop(now float64) (what T, ok bool) {
 	if len(d.heap) == 0 || d.heap[0].at > now {
 		return what, false
 	}
 	return heap.Pop(&d.heap).(due[T]).what, true
 }
 
-func (d *dues[T]) next() float64 {
+// Next is when the first thing is due, +Inf where there is none.
+func (d *Dues[T]) Next() float64 {
 	if len(d.heap) == 0 {
 		return math.Inf(1)
 	}
--- a/internal/record/inputs.go
+++ b/internal/record/inputs.go
@@ -122,7 +122,8 @@
 		s.Probed(r.At, x.Probed.Host, decide.Outcome(x.Probed.Outcome), unload(x.Probed.Load))
 	case *recordpb.Record_Advance:
 		s.Advance(r.At, out)
-	case *recordpb.Record_Published, *recordpb.Record_Start:
+	case *recordpb.Record_Published, *recordpb.Record_Start, *recordpb.Record_ProxyStart, *recordpb.Record_Transaction,
+		*recordpb.Record_Applied:
 	default:
 		return fmt.Errorf("a record of a kind that is not known, at %.3f ms", r.At)
 	}
--- /dev/null
+++ b/internal/record/proxy.go
@@ -0,0 +1,55 @@
+package record
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"barleysail/client"
+	"barleysail/internal/record/recordpb"
+)
+
+// Proxy records what a proxy did. Its methods may be called from any goroutine; Ended and Applied are made to be
+// a client's options.
+type Proxy struct {
+	mu sync.Mutex
+	w  *Writer
+}
+
+func unixMs(t time.Time) float64 { return float64(t.UnixMicro()) / 1000 }
+
+// NewProxy begins a proxy's recording.
+func NewProxy(w io.Writer, program, proxy, zone string) *Proxy {
+	p := &Proxy{w: NewWriter(w)}
+	p.write(&recordpb.Record{At: unixMs(time.Now()), What: &recordpb.Record_ProxyStart{ProxyStart: &recordpb.ProxyStart{
+		Format: Format, Program: program, Proxy: proxy, Zone: zone}}})
+	return p
+}
+
+func (p *Proxy) write(r *recordpb.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.w.Write(r)
+}
+
+// Ended records a transaction.
+func (p *Proxy) Ended(x client.Transaction) {
+	t := &recordpb.Transaction{Class: x.Class, Came: unixMs(x.Came), LetIn: x.LetIn, Fulfilled: x.Fulfilled}
+	for _, a := range x.Tries {
+		t.Tries = append(t.Tries, &recordpb.Try{At: unixMs(a.Began), Host: a.Host, Took: a.Took.Seconds() * 1000,
+			Result: int32(a.Result)})
+	}
+	p.write(&recordpb.Record{At: unixMs(time.Now()), What: &recordpb.Record_Transaction{Transaction: t}})
+}
+
+// Applied records that the proxy goes by other tables.
+func (p *Proxy) Applied(tag string) {
+	p.write(&recordpb.Record{At: unixMs(time.Now()), What: &recordpb.Record_Applied{Applied: tag}})
+}
+
+// Close ends the recording.
+func (p *Proxy) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.w.Close()
+}
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -18,6 +19,7 @@
 	"barleysail/internal/config"
 	"barleysail/internal/config/configpb"
 	"barleysail/internal/daemon"
+	"barleysail/internal/record"
 	"barleysail/internal/rehearse/daypb"
 	"barleysail/internal/rules"
 	"barleysail/internal/standin"
@@ -32,17 +34,18 @@
 
 // day is one that is being played.
 type day struct {
-	script  *daypb.Day
-	config  *configpb.Config
-	version string
-	records string // folder for recordings, empty: none
-	lives   int
-	dir     string
-	out     io.Writer
-	log     zerolog.Logger
-	start   time.Time
-	journal *rules.Journal
-	service *service
+	script     *daypb.Day
+	config     *configpb.Config
+	version    string
+	records    string // folder for recordings, empty: none
+	lives      int
+	recordings []func() error // to be ended
+	dir        string
+	out        io.Writer
+	log        zerolog.Logger
+	start      time.Time
+	journal    *rules.Journal
+	service    *service
 
 	mu         sync.Mutex
 	hosts      []*member
@@ -114,6 +117,11 @@
 	if c.Fleet == nil {
 		c.Fleet = &configpb.Fleet{}
 	}
+	for _, k := range c.Classes {
+		for _, t := range s.Traffic {
+			k.Once = k.Once || t.Class == k.Name && t.Effect == daypb.Effect_ONCE
+		}
+	}
 	c.Listen, c.Record, c.Fleet.Stewards = "127.0.0.1:0", "", &s.Stewards
 	proxies := int32(0)
 	for _, g := range s.Forwarders {
@@ -146,15 +154,7 @@
 
 // figures are the rules' figures by the configuration.
 func (d *day) figures() rules.Figures {
-	c, f := d.config, rules.Figures{Fall: d.script.FallMs, Once: map[string]bool{}}
-	f.Bare, f.Grace = *c.Guard.BareMs, *c.Guard.GraceMs
-	f.ColdFrom, f.Cold, f.Multiple = *c.Guard.ColdFrom, *c.Guard.ColdMs, *c.Guard.FallMultiple
-	f.LinesPerS, f.Head, f.MostWaiting = *c.Channel.LinesPerS, *c.Channel.HeadLines, *c.Channel.MostWaiting
-	f.MessagesMost, f.MessagesOver = int(*c.Channel.MessagesMost), *c.Channel.MessagesOverMs
-	for _, t := range d.script.Traffic {
-		f.Once[t.Class] = t.Effect == daypb.Effect_ONCE
-	}
-	return f
+	return config.Rules(d.config, d.script.FallMs)
 }
 
 func (d *day) begin() error {
@@ -241,6 +241,11 @@
 				set.Traffic = append(set.Traffic, standin.Traffic{Class: t.Class, Rate: t.Rate / float64(total),
 					Work: t.WorkMs, Due: *k.DueMs, Patience: *k.PatienceMs, Repeats: t.Effect == daypb.Effect_SAFE})
 			}
+			if d.records != "" {
+				if err := d.recordProxy(&set); err != nil {
+					return err
+				}
+			}
 			f, err := standin.NewForwarder(set)
 			if err != nil {
 				return fmt.Errorf("making a forwarder: %w", err)
@@ -252,6 +257,18 @@
 	return nil
 }
 
+// recordProxy has a forwarder's transactions recorded.
+func (d *day) recordProxy(set *standin.ForwarderSettings) error {
+	f, err := os.Create(filepath.Join(d.records, set.Name+".day"))
+	if err != nil {
+		return fmt.Errorf("starting a recording: %w", err)
+	}
+	p := record.NewProxy(f, d.version, set.Name, set.Zone)
+	d.recordings = append(d.recordings, func() error { return errors.Join(p.Close(), f.Close()) })
+	set.Transacted, set.Applied = p.Ended, p.Applied
+	return nil
+}
+
 // list writes the host list as it now stands, and notes it: stewards can know it from then on.
 func (d *day) list() error {
 	l, seen := &configpb.HostList{}, map[string]rules.Listed{}
@@ -363,4 +380,9 @@
 	for _, h := range d.hosts {
 		h.Crash()
 	}
+	for _, end := range d.recordings {
+		if err := end(); err != nil {
+			d.log.Error().Err(err).Msg("a recording could not be ended")
+		}
+	}
 }
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -1,16 +1,26 @@
 package rehearse
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"math"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/prototext"
 
+	"barleysail/decide"
+	"barleysail/internal/config"
+	"barleysail/internal/record"
+	"barleysail/internal/record/recordpb"
 	"barleysail/internal/rehearse/daypb"
 	"barleysail/internal/rules"
+	"barleysail/replay"
+	"barleysail/steward"
 )
 
 const short = `length_s: 9 seed: 3 stewards: 2 list_late_ms: 200
@@ -55,3 +65,71 @@
 		t.Error(out)
 	}
 }
+
+// A recorded day replays as it was: each steward's answers byte for byte, and the service within a few parts in a
+// hundred of what was recorded. Without probes a hung host goes on being sent to.
+func TestRecordedDayReplays(t *testing.T) {
+	t.Parallel()
+	script, dir := &daypb.Day{}, t.TempDir()
+	if err := prototext.Unmarshal([]byte(short), script); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := playDay(context.Background(), script, "test", dir, io.Discard, zerolog.Nop(), func(*rules.Figures) {}); err != nil {
+		t.Fatal(err)
+	}
+	names, _ := filepath.Glob(filepath.Join(dir, "*.day"))
+	open := func() ([]replay.Source, error) {
+		var all []replay.Source
+		for _, name := range names {
+			text, err := os.ReadFile(name)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, replay.Source{Name: filepath.Base(name), Next: record.NewReader(bytes.NewReader(text)).Next})
+		}
+		return all, nil
+	}
+	build := func(s *recordpb.Start) (*steward.Steward, error) {
+		c, err := config.Parse("recorded", []byte(s.Config))
+		if err != nil {
+			return nil, err
+		}
+		return config.Steward(c, s.Life, s.Seed), nil
+	}
+	sources, _ := open()
+	lives, answers := 0, 0
+	for _, s := range sources {
+		if !strings.HasPrefix(s.Name, "steward") {
+			continue
+		}
+		lives++
+		r, err := replay.Again(s.Next, build)
+		if err != nil || r.First != nil {
+			t.Fatalf("%s: %+v, %v", s.Name, r, err)
+		}
+		answers += r.Answers
+	}
+	if lives != 3 || answers < 10 {
+		t.Errorf("%d lives of stewards, %d answers", lives, answers)
+	}
+	c, err := config.Parse("script", []byte(`zones: ["a","b"] classes { name: "sheet" due_ms: 1000 patience_ms: 2500 earnings: 3 }
+		classes { name: "finish" due_ms: 500 patience_ms: 1200 earnings: 9 once: true } list { file: "x" }`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := replay.Setting{Make: build, Figures: config.Rules(c, 3000), Probes: 250, Classes: []steward.Class{
+		{Name: "sheet", Class: decide.Class{Due: 1000, Patience: 2500, Earnings: 3}},
+		{Name: "finish", Class: decide.Class{Due: 500, Patience: 1200, Earnings: 9}}}}
+	o, err := replay.Replay(open, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if all := replay.Compare(o, o, 1).All; math.Abs(all.Recorded-all.One) > 0.08 || all.Difference.Value != 0 || o.Tries < 300 {
+		t.Errorf("recorded %.3f, replayed %.3f, %d tries", all.Recorded, all.One, o.Tries)
+	}
+	for name, by := range o.Offsets { // one machine, one clock
+		if math.Abs(by.By) > 20 {
+			t.Errorf("%s is taken to be %.1f ms off", name, by.By)
+		}
+	}
+}
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -50,8 +51,13 @@
 			if i+1 < len(answers) {
 				until = answers[i+1].at
 			}
-			for class := range a.known {
-				if a.status == 0 || len(a.tables[class]) > 0 || !j.warm(f, a.at, until) {
+			for class := range since {
+				if !slices.Contains(a.empty, class) {
+					delete(since, class)
+				}
+			}
+			for _, class := range a.empty {
+				if a.status == 0 || !j.warm(f, a.at, until) {
 					delete(since, class)
 					continue
 				}
@@ -212,7 +218,7 @@
 		if j.knew(f, a, told) {
 			known += a.work
 		}
-		for all[first].at <= a.at-f.Fall {
+		for first < i && all[first].at <= a.at-f.Fall {
 			sum -= all[first].work
 			if j.knew(f, all[first], told) {
 				known -= all[first].work
@@ -221,7 +227,7 @@
 		}
 		part := f.ColdFrom + (1-f.ColdFrom)*math.Max(all[first].at-start, 0)/f.Cold
 		budget := f.Multiple * part * j.capacity[host] * f.Fall
-		if budget > 0 && known >= sum*2/3 && i >= first {
+		if budget > 0 && known >= sum*2/3 {
 			most = math.Max(most, sum/budget)
 		}
 	}
--- a/internal/rules/journal.go
+++ b/internal/rules/journal.go
@@ -38,11 +38,13 @@
 	proxy   string
 	steward string
 	status  int
-	tables  map[string]map[string]float64 // what the proxy then held, by class
+	empty   []string // classes for which hosts were ordered and none is left
 	lines   int
-	known   map[string]bool // classes ordered so far
 }
 
+// holding is what a proxy holds: its hosts by class, where any were ordered.
+type holding map[string]map[string]bool
+
 // arrival of a transaction at a host.
 type arrival struct {
 	at, work        float64
@@ -57,16 +59,21 @@
 	lists    []list
 	answers  []answer
 	arrivals []arrival
-	last     map[string]answer
+	last     map[string]holding
 	capacity map[string]float64 // ms of work a ms that a warm host does
 	faults   []string
+	lean     bool
 }
 
 // NewJournal makes an empty one.
 func NewJournal() *Journal {
-	return &Journal{last: map[string]answer{}, capacity: map[string]float64{}}
+	return &Journal{last: map[string]holding{}, capacity: map[string]float64{}}
 }
 
+// Lean has the journal drop transactions that can break no rule as soon as they come: those at hosts that the list
+// then has as ready and warm, so that a long day fits into memory. Times must come in order.
+func (j *Journal) Lean() { j.lean = true }
+
 // Gave notes the list that stewards can see from now on.
 func (j *Journal) Gave(at float64, hosts map[string]Listed) {
 	j.mu.Lock()
@@ -85,6 +92,12 @@
 func (j *Journal) Arrived(at float64, host, proxy, class, id string, work float64, ran bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.lean && len(j.lists) > 0 {
+		h, listed := j.lists[len(j.lists)-1].hosts[host]
+		if listed && h.Ready && h.Started == 0 {
+			return
+		}
+	}
 	j.arrivals = append(j.arrivals, arrival{at, work, host, proxy, id, class, ran})
 }
 
@@ -93,55 +106,57 @@
 func (j *Journal) Answered(at float64, proxy, steward string, status int, tag, base, held string, body []byte) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	was := j.last[proxy]
-	a := answer{at: at, proxy: proxy, steward: steward, status: status, tables: was.tables, known: was.known}
+	a := answer{at: at, proxy: proxy, steward: steward, status: status}
+	h := j.last[proxy]
+	if h == nil {
+		h = holding{}
+		j.last[proxy] = h
+	}
 	if status == 200 || status == 226 {
 		if status == 226 && base != held {
 			j.faults = append(j.faults, fmt.Sprintf("%s got a delta onto %s, it held %s", proxy, base, held))
 		}
-		a.apply(body, status == 200)
+		lines, err := h.apply(body, status == 200)
+		if a.lines = lines; err != nil {
+			j.faults = append(j.faults, fmt.Sprintf("%s got a document that is no JSON: %v", proxy, err))
+		}
+	}
+	for class, hosts := range h {
+		if len(hosts) == 0 {
+			a.empty = append(a.empty, class)
+		}
 	}
+	sort.Strings(a.empty)
 	j.answers = append(j.answers, a)
-	j.last[proxy] = a
 }
 
-// apply puts a document or a merge patch onto the tables, and counts its lines.
-func (a *answer) apply(body []byte, whole bool) {
+// apply puts a document or a merge patch onto what is held, and counts its lines.
+func (h holding) apply(body []byte, whole bool) (lines int, err error) {
 	var d struct {
 		Tables map[string]struct {
 			Hosts map[string]*float64 `json:"hosts"`
 		} `json:"tables"`
 	}
-	if json.Unmarshal(body, &d) != nil {
-		a.status = -1
-		return
-	}
-	tables, known := map[string]map[string]float64{}, map[string]bool{}
-	for class, hosts := range a.tables {
-		tables[class] = hosts
-		known[class] = a.known[class]
+	if err := json.Unmarshal(body, &d); err != nil {
+		return 0, err
 	}
 	for class, t := range d.Tables {
-		a.lines = max(a.lines, len(t.Hosts)+1) // classes share a table, so one line serves them all
+		lines = max(lines, len(t.Hosts)+1) // classes share a table, so one line serves them all
 		if t.Hosts == nil {
 			continue
 		}
-		now := map[string]float64{}
-		if !whole {
-			for host, w := range tables[class] {
-				now[host] = w
-			}
+		if h[class] == nil || whole {
+			h[class] = map[string]bool{}
 		}
 		for host, w := range t.Hosts {
 			if w == nil {
-				delete(now, host)
+				delete(h[class], host)
 			} else {
-				now[host] = *w
+				h[class][host] = true
 			}
 		}
-		tables[class], known[class] = now, true
 	}
-	a.tables, a.known = tables, known
+	return lines, nil
 }
 
 // at gives the list in force at a time.
--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -41,6 +41,8 @@
 	Journal    *rules.Journal
 	Ended      func(class string, came, took float64, err error) // of each transaction
 	Log        func(string)
+	Transacted func(client.Transaction) // told to the client, for a recording; nil: none
+	Applied    func(tag string)
 }
 
 // Forwarder is a proxy: transactions come to it at random times, and it sends them where its tables say.
@@ -71,7 +73,7 @@
 	var err error
 	f.Client, err = client.New(client.Options{Stewards: set.Stewards, Proxy: set.Name, Zone: set.Zone, Rate: rate,
 		Standing: set.Standing, HTTP: steward, Wait: set.Wait, Period: set.Period, Ejects: set.Ejects, Repeats: repeats,
-		Log: set.Log})
+		Log: set.Log, Ended: set.Transacted, Applied: set.Applied})
 	return f, err
 }
 
--- /dev/null
+++ b/replay/other.go
@@ -0,0 +1,399 @@
+package replay
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math"
+	"sort"
+
+	"barleysail/decide"
+	"barleysail/internal/core"
+	"barleysail/internal/record/recordpb"
+	"barleysail/internal/rules"
+	"barleysail/replay/response"
+	"barleysail/steward"
+)
+
+// Setting is what a day is replayed with.
+type Setting struct {
+	Make    Make // of a steward, by the start of its life
+	Classes []steward.Class
+	Figures rules.Figures
+	Probes  float64 // ms until a probe without an answer is given up
+}
+
+// Window is a span of a day in earnings by class, for transactions that came in it.
+type Window struct {
+	Asked, Recorded, Replayed []float64
+}
+
+// Outcome of a day, as it was recorded and as it was replayed.
+type Outcome struct {
+	From     float64
+	Classes  []string
+	Windows  []Window // of windowLength each
+	Verdicts []rules.Verdict
+	Messages int // wholes and deltas sent
+	Moments  []Moment
+	Tries    int
+	Beyond   int // answers of hosts that are extrapolated
+	AsSeen   int // transactions of proxies without tables, taken as recorded
+	Offsets  map[string]Offset
+}
+
+const windowLength = 5000.0
+
+// Replay plays a day's arrivals against the tables that its stewards now decide with a setting. List, joins, leaves,
+// broken polls and the times of sums are as recorded; what hosts answer comes from a model fitted from the record.
+func Replay(open Open, set Setting) (*Outcome, error) {
+	sc, err := read(open)
+	if err != nil {
+		return nil, err
+	}
+	patience := 0.0
+	for _, c := range set.Classes {
+		patience = math.Max(patience, c.Patience)
+	}
+	m, err := merge(open, sc.offsets, patience+5000)
+	if err != nil {
+		return nil, err
+	}
+	e := &engine{set: set, scan: sc, hosts: response.NewHosts(sc.model), journal: rules.NewJournal(),
+		lives: map[string]*life{}, proxies: map[string]*proxy{}, class: map[string]int{},
+		out: &Outcome{From: sc.from, Offsets: map[string]Offset{}}}
+	e.journal.Lean()
+	for i, c := range set.Classes {
+		e.class[c.Name] = i
+		e.out.Classes = append(e.out.Classes, c.Name)
+	}
+	for name, by := range sc.offsets {
+		e.out.Offsets[sc.proxies[name].Proxy] = by
+	}
+	for {
+		x, err := m.next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		e.until(x.at)
+		if err := e.take(x); err != nil {
+			return nil, err
+		}
+	}
+	e.until(e.now + patience)
+	e.finish()
+	return e.out, nil
+}
+
+// engine plays the day.
+type engine struct {
+	set     Setting
+	scan    *scan
+	hosts   *response.Hosts
+	journal *rules.Journal
+	out     *Outcome
+
+	now     float64
+	dues    core.Dues[func()]
+	lives   map[string]*life // by source
+	proxies map[string]*proxy
+	class   map[string]int
+	polls   int64
+	counter uint64
+
+	once, doubled int // transactions that must not run twice, and those that did
+}
+
+// twice is the verdict on transactions that must not run twice. A transaction is followed to its end, so it is
+// known then how often it ran.
+func (e *engine) twice() rules.Verdict {
+	v := rules.Verdict{Rule: "no effect twice", Kept: e.doubled == 0, Margin: 1 - 2*float64(e.doubled)}
+	v.Seen = fmt.Sprintf("%d of %d ran twice", e.doubled, e.once)
+	return v
+}
+
+// life is a steward's, from its start to its end.
+type life struct {
+	e       *engine
+	name    string
+	steward *steward.Steward
+	polls   map[int64]*proxy
+	woken   float64 // the time for which a wake is noted
+	over    bool
+}
+
+// proxy as it is replayed.
+type proxy struct {
+	name, zone string
+	life       *life
+	poll       int64 // 0: none is out
+	tag        string
+	tables     map[string]steward.Table
+	sums       steward.Sums
+	since      float64
+	number     int64
+}
+
+// until does all that is due by a time.
+func (e *engine) until(at float64) {
+	for e.dues.Next() <= at {
+		e.now = math.Max(e.now, e.dues.Next())
+		do, _ := e.dues.Pop(e.now)
+		do()
+	}
+	e.now = math.Max(e.now, at)
+}
+
+func (e *engine) after(ms float64, do func()) { e.dues.Add(e.now+ms, do) }
+
+func (e *engine) chance() float64 {
+	e.counter++
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], e.counter*0x9e3779b97f4a7c15)
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+// take plays a recorded item.
+func (e *engine) take(x item) error {
+	l := e.lives[x.source]
+	switch r := x.record.What.(type) {
+	case *recordpb.Record_Start:
+		s, err := e.set.Make(r.Start)
+		if err != nil {
+			return err
+		}
+		l = &life{e: e, name: x.source, steward: s, polls: map[int64]*proxy{}, woken: math.Inf(1)}
+		e.lives[x.source] = l
+		e.dues.Add(e.scan.ends[x.source]+0.001, l.end)
+	case *recordpb.Record_Transaction:
+		e.transaction(e.scan.proxies[x.source].Proxy, e.scan.proxies[x.source].Zone, r.Transaction)
+		return nil
+	}
+	if l == nil || l.over {
+		return nil
+	}
+	switch r := x.record.What.(type) {
+	case *recordpb.Record_Listed:
+		l.listed(r.Listed)
+	case *recordpb.Record_ListFailed:
+		l.steward.ListFailed(e.now)
+	case *recordpb.Record_Poll:
+		p := e.proxy(r.Poll.Proxy, r.Poll.Zone)
+		if p.life != l {
+			p.part()
+			p.life, p.tag = l, ""
+		}
+		if p.poll == 0 {
+			p.ask(r.Poll.Rate)
+		}
+	case *recordpb.Record_PollGone:
+		if p := e.proxies[r.PollGone.Proxy]; p != nil && p.life == l {
+			p.part()
+		}
+	case *recordpb.Record_Leave:
+		l.steward.Leave(e.now, r.Leave, l)
+		if p := e.proxies[r.Leave]; p != nil && p.life == l {
+			p.life, p.poll = nil, 0
+		}
+	case *recordpb.Record_Sums:
+		if p := e.proxies[r.Sums.Proxy]; p != nil && p.life == l {
+			p.report()
+		}
+	}
+	l.settle()
+	return nil
+}
+
+func (e *engine) proxy(name, zone string) *proxy {
+	p := e.proxies[name]
+	if p == nil {
+		p = &proxy{name: name, zone: zone, tables: map[string]steward.Table{}, since: e.now}
+		p.begin()
+		e.proxies[name] = p
+	}
+	return p
+}
+
+func (p *proxy) begin() {
+	p.sums = steward.Sums{Sender: "replay", Hosts: map[string]steward.HostSums{}, Usage: map[string]steward.ClassUsage{}}
+}
+
+// ask polls the proxy's steward.
+func (p *proxy) ask(rate float64) {
+	l := p.life
+	l.e.polls++
+	p.poll = l.e.polls
+	l.polls[p.poll] = p
+	q := steward.Query{Proxy: p.name, Zone: p.zone, Rate: rate, Wait: 60000, Delta: true}
+	if p.tag != "" {
+		q.Tags = []string{p.tag}
+	}
+	if err := l.steward.Poll(l.e.now, p.poll, q, l); err != nil {
+		delete(l.polls, p.poll)
+		p.poll = 0
+	}
+}
+
+// part breaks the proxy's way to its steward; it goes on with what it holds.
+func (p *proxy) part() {
+	if p.life == nil {
+		return
+	}
+	if p.poll != 0 {
+		delete(p.life.polls, p.poll)
+		p.life.steward.PollGone(p.life.e.now, p.name, p.poll)
+		p.poll = 0
+	}
+	p.life.e.journal.Answered(p.life.e.now, p.name, p.life.name, 0, "", "", "", nil)
+	p.life = nil
+}
+
+// report gives the steward what the proxy met since its last report.
+func (p *proxy) report() {
+	e, u := p.life.e, p.sums
+	span := math.Max(e.now-p.since, 1)
+	p.number++
+	u.Number = p.number
+	for host, v := range u.Hosts {
+		if good := v.Tries - v.Failed; good > 0 {
+			v.Mean /= float64(good)
+		}
+		v.Span = span
+		if e.scan.loads {
+			util, queue := e.hosts.Load(host, e.now)
+			v.Load = decide.Load{Util: util, Rate: -1, Queue: queue}
+		}
+		u.Hosts[host] = v
+	}
+	for class, v := range u.Usage {
+		v.Span = span
+		u.Usage[class] = v
+	}
+	p.begin()
+	p.since = e.now
+	p.life.steward.Sums(e.now, p.name, u) // one that names a host no longer listed is refused, as in service
+}
+
+func (l *life) listed(list *recordpb.Listed) {
+	var entries []steward.Entry
+	seen := map[string]rules.Listed{}
+	for _, h := range list.Hosts {
+		entries = append(entries, steward.Entry{Host: h.Address, Zone: h.Zone, Phase: decide.Phase(h.Phase), Weight: h.Weight,
+			Started: h.Started})
+		seen[h.Address] = rules.Listed{Ready: decide.Phase(h.Phase) == decide.Ready, Started: h.Started}
+		fit := l.e.scan.model.Host(h.Address)
+		l.e.journal.Capacity(h.Address, float64(fit.Cores)/fit.Speed)
+	}
+	l.e.journal.Gave(l.e.now, seen)
+	l.steward.Listed(l.e.now, entries)
+}
+
+// settle lets the steward do what is due, and notes when it is next.
+func (l *life) settle() {
+	if l.over {
+		return
+	}
+	if l.steward.Next() <= l.e.now {
+		l.steward.Advance(l.e.now, l)
+	}
+	next := math.Max(l.steward.Next(), l.e.now+0.2)
+	if next < l.woken && !math.IsInf(next, 1) {
+		l.woken = next
+		l.e.dues.Add(next, func() {
+			l.woken = math.Inf(1)
+			l.settle()
+		})
+	}
+}
+
+// end is that of the steward's record: its proxies go on alone.
+func (l *life) end() {
+	l.over = true
+	for _, p := range l.sorted() {
+		p.part()
+	}
+}
+
+func (l *life) sorted() []*proxy {
+	var all []*proxy
+	for _, p := range l.e.proxies {
+		if p.life == l {
+			all = append(all, p)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
+	return all
+}
+
+// The steward.Out of a life.
+
+func (l *life) Answer(poll int64, a steward.Answer) {
+	p := l.polls[poll]
+	delete(l.polls, poll)
+	if p == nil || p.poll != poll {
+		return
+	}
+	if a.Kind != steward.Same {
+		l.e.out.Messages++
+	}
+	l.e.after(math.Max(l.e.scan.late, 0.5), func() {
+		if p.life == l && p.poll == poll && !l.over {
+			p.take(a)
+			l.settle()
+		}
+	})
+}
+
+func (l *life) Probe(host string) {
+	answers, there := l.e.scan.model.Alive(host, l.e.now)
+	wait, how := 1.0, decide.Fine
+	if !answers && there {
+		wait, how = l.e.set.Probes, decide.Silent
+	} else if !answers {
+		how = decide.Unreachable
+	}
+	l.e.after(wait, func() {
+		if !l.over {
+			l.steward.Probed(l.e.now, host, how, decide.NoLoad)
+			l.settle()
+		}
+	})
+}
+
+func (l *life) Watch() {}
+
+func (l *life) Log(text string) {
+	if len(l.e.out.Moments) < momentsKept {
+		l.e.out.Moments = append(l.e.out.Moments, Moment{l.e.now, l.name + ": " + text})
+	}
+}
+
+// take lets the proxy go by an answer, and poll again.
+func (p *proxy) take(a steward.Answer) {
+	status := 304
+	switch a.Kind {
+	case steward.Whole:
+		status = 200
+	case steward.Delta:
+		status = 226
+	}
+	p.life.e.journal.Answered(p.life.e.now, p.name, p.life.name, status, a.Tag, a.Base, p.tag, a.Body())
+	if a.Kind != steward.Same {
+		for _, t := range a.Tables() {
+			if old, ok := p.tables[t.Class]; ok && !t.Ordered {
+				t.Hosts, t.Weights, t.Ordered = old.Hosts, old.Weights, old.Ordered
+			}
+			p.tables[t.Class] = t
+		}
+	}
+	p.tag = a.Tag
+	p.ask(0)
+}
+
+func (e *engine) finish() {
+	e.out.Tries, e.out.Beyond = e.hosts.Tries, e.hosts.Beyond
+	e.out.Verdicts = e.journal.Check(e.set.Figures, e.now)
+	e.out.Verdicts[1] = e.twice() // the journal is lean, and holds a part only
+}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -268,3 +268,52 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Seconds())/float64(b.N)*60, "s/hour-of-day")
 }
+
+// BenchmarkReplay plays a minute of 150 hosts, 400 proxies and 580 transactions a second against a setting.
+func BenchmarkReplay(b *testing.B) {
+	const seconds, hosts, proxies, rate = 60, 150, 400, 580
+	var day []*recordpb.Record
+	play(seconds, hosts, proxies, func(r *recordpb.Record) { day = append(day, r) })
+	open := func() ([]Source, error) {
+		all := []Source{{"steward", func() Next {
+			next := from(day)
+			return func() (*recordpb.Record, error) {
+				r, err := next()
+				if err == nil {
+					r = proto.Clone(r).(*recordpb.Record)
+				}
+				return r, err
+			}
+		}()}}
+		for p := range proxies {
+			n := 0
+			all = append(all, Source{fmt.Sprint("proxy", p), func() (*recordpb.Record, error) {
+				n++
+				at := 1000 + float64(n-1)*1000*proxies/rate + float64(p)
+				if n == 1 {
+					return &recordpb.Record{At: at, What: &recordpb.Record_ProxyStart{ProxyStart: &recordpb.ProxyStart{Proxy: fmt.Sprint("p", p), Zone: []string{"a", "b"}[p%2]}}}, nil
+				} else if at > seconds*1000 {
+					return nil, io.EOF
+				}
+				took := 40 + float64(n*p%50)
+				return &recordpb.Record{At: at + took, What: &recordpb.Record_Transaction{Transaction: &recordpb.Transaction{Class: "sheet", Came: at, LetIn: true,
+					Fulfilled: true, Tries: []*recordpb.Try{{At: at, Host: fmt.Sprintf("10.0.0.%d:80", (n*7+p)%hosts), Took: took}}}}}, nil
+			}})
+		}
+		return all, nil
+	}
+	set := Setting{Make: build, Probes: 250, Classes: []steward.Class{{Name: "sheet", Class: decide.Class{Due: 1000, Patience: 2500, Earnings: 3}},
+		{Name: "finish", Class: decide.Class{Due: 500, Patience: 1200, Earnings: 9}}}}
+	set.Figures.Bare, set.Figures.Grace, set.Figures.Cold, set.Figures.Fall, set.Figures.LinesPerS, set.Figures.MostWaiting = 5000, 3000, 18000, 3000, 1e6, 1e6
+	b.ResetTimer()
+	tries := 0
+	for range b.N {
+		o, err := Replay(open, set)
+		if err != nil {
+			b.Fatal(err)
+		}
+		tries = o.Tries
+	}
+	b.ReportMetric(float64(tries), "tries")
+	b.ReportMetric(b.Elapsed().Seconds()/float64(b.N)*3600/seconds, "s/hour-of-day")
+}
--- /dev/null
+++ b/replay/response/model.go
@@ -0,0 +1,297 @@
+// Package response tells what a host would have answered to a try that it did not get, from the tries that it did
+// get. It is fitted from a record and knows nothing that the record does not hold: a host's speed, when it was
+// slow, hung or dead, and how many cores it works with. Queueing is first come, first served over the cores. What
+// lies where nothing was seen is extrapolated, and counted as such. It does no I/O; times are ms.
+package response
+
+import (
+	"math"
+	"sort"
+)
+
+// window is the stretch over which a host is taken to be in one state.
+const window = 1000.0
+
+// Outcome of a try.
+type Outcome int
+
+// As in package client.
+const (
+	Fulfilled Outcome = iota
+	Failed
+	NeverRan
+)
+
+// state of a host in a window.
+type state int
+
+const (
+	unseen state = iota
+	alive
+	hung
+	dead
+)
+
+// cell is what was seen of a host in a window.
+type cell struct {
+	good, failed, refused int
+	fastest               float64 // of the good tries' times over their class's usual time; 0: none
+	ratios                float64 // sum of these
+	work, took            float64 // sums of the usual times of the good tries, and of their own
+	probeFine, probeOther int
+	probeAbsent           int
+	util                  float64 // as reported, below 0: not
+}
+
+// Host is what the fit found of one.
+type Host struct {
+	Speed   float64 // times a class's usual time that an unhurried try takes here
+	Fastest float64 // the same of the fastest try of a usual window
+	Cores   int
+	Learned bool // from its own tries
+}
+
+// Model is fitted by Saw, Probed and Loaded in any order, then Fit, then asked.
+type Model struct {
+	cells   map[string][]cell
+	start   float64
+	samples map[string]*sample // usual times by class
+	usual   map[string]float64
+	hosts   map[string]Host
+}
+
+// New makes a model of a day that begins at a time.
+func New(start float64) *Model {
+	return &Model{cells: map[string][]cell{}, start: start, samples: map[string]*sample{}, usual: map[string]float64{},
+		hosts: map[string]Host{}}
+}
+
+// Begin sets the time at which the day begins, before anything is seen.
+func (m *Model) Begin(start float64) { m.start = start }
+
+// sample keeps a bounded, evenly thinned part of a stream: every k-th figure, k doubling when it is full.
+type sample struct {
+	all         []float64
+	every, seen int
+}
+
+const sampleMost = 4096
+
+func (s *sample) add(x float64) {
+	if s.every == 0 {
+		s.every = 1
+	}
+	if s.seen++; s.seen%s.every != 0 {
+		return
+	}
+	if s.all = append(s.all, x); len(s.all) == sampleMost {
+		half := s.all[:0]
+		for i := 1; i < sampleMost; i += 2 {
+			half = append(half, s.all[i])
+		}
+		s.all, s.every = half, 2*s.every
+	}
+}
+
+// part gives the figure under which so much of the sample lies.
+func (s *sample) part(p float64) float64 {
+	if len(s.all) == 0 {
+		return 0
+	}
+	sorted := append([]float64(nil), s.all...)
+	sort.Float64s(sorted)
+	return sorted[min(int(p*float64(len(sorted))), len(sorted)-1)]
+}
+
+func (m *Model) cell(host string, at float64) *cell {
+	i := max(int((at-m.start)/window), 0)
+	row := m.cells[host]
+	for len(row) <= i {
+		row = append(row, cell{util: -1})
+	}
+	m.cells[host] = row
+	return &row[i]
+}
+
+// Usual notes a good try's time for its class's usual time. All tries go through it before any goes to Saw.
+func (m *Model) Usual(class string, took float64) {
+	s := m.samples[class]
+	if s == nil {
+		s = &sample{}
+		m.samples[class] = s
+	}
+	s.add(took)
+}
+
+// usualPart of the good tries of a class lie under its usual time: most of those were not held up by others.
+const usualPart = 0.35
+
+// usualTime of a class.
+func (m *Model) usualTime(class string) float64 {
+	t, ok := m.usual[class]
+	if !ok {
+		if s := m.samples[class]; s != nil {
+			t = s.part(usualPart)
+		}
+		t = math.Max(t, 0.1)
+		m.usual[class] = t
+	}
+	return t
+}
+
+// Saw notes a try as it was recorded.
+func (m *Model) Saw(class, host string, at, took float64, how Outcome) {
+	switch how {
+	case Fulfilled:
+		c := m.cell(host, at+took) // it was alive when it answered
+		c.good++
+		usual := m.usualTime(class)
+		c.work, c.took = c.work+usual, c.took+took
+		ratio := took / usual
+		if c.ratios += ratio; c.fastest == 0 || ratio < c.fastest {
+			c.fastest = ratio
+		}
+	case Failed:
+		m.cell(host, at).failed++
+	case NeverRan:
+		m.cell(host, at).refused++
+	}
+}
+
+// Probed notes a probe: fine, or without an answer, or with nothing found there.
+func (m *Model) Probed(host string, at float64, fine, absent bool) {
+	c := m.cell(host, at)
+	switch {
+	case fine:
+		c.probeFine++
+	case absent:
+		c.probeAbsent++
+	default:
+		c.probeOther++
+	}
+}
+
+// Loaded notes the busy part of a host's cores, as it reported it.
+func (m *Model) Loaded(host string, at, util float64) {
+	if util >= 0 {
+		m.cell(host, at).util = math.Min(util, 1)
+	}
+}
+
+// Fit works out each host's speed and cores. A host is as fast as its tries are on average in its quicker windows,
+// where few wait. Its cores are the tries in hand, by their times (Little's law), over the part of them that it
+// reported as busy, in windows where some were free; without reports as many as its busiest window needs.
+func (m *Model) Fit() {
+	for host, row := range m.cells {
+		var ratios, fastest []float64
+		inHand, busy, most := 0.0, 0.0, 0.0
+		for _, c := range row {
+			if c.good == 0 {
+				continue
+			}
+			ratios, fastest = append(ratios, c.ratios/float64(c.good)), append(fastest, c.fastest)
+			most = math.Max(most, c.work/window)
+			if c.util > 0.02 && c.util < 0.8 {
+				inHand, busy = inHand+c.took/window, busy+c.util
+			}
+		}
+		h := Host{Speed: 1, Fastest: 1, Cores: 1, Learned: len(ratios) > 0}
+		if h.Learned {
+			sort.Float64s(ratios)
+			sort.Float64s(fastest)
+			h.Speed, h.Fastest = math.Max(ratios[len(ratios)/4], 0.05), math.Max(fastest[len(fastest)/2], 0.01)
+			cores := most * h.Speed
+			if busy > 0 {
+				cores = inHand / busy
+			}
+			h.Cores = min(max(int(math.Round(cores)), 1), 1024)
+		}
+		m.hosts[host] = h
+	}
+}
+
+// Host gives what the fit found.
+func (m *Model) Host(host string) Host {
+	h, ok := m.hosts[host]
+	if !ok {
+		return Host{Speed: 1, Fastest: 1, Cores: 1}
+	}
+	return h
+}
+
+// at gives a host's state at a time and how many times slower than usual it was. Where nothing was seen in the
+// window the last one before that showed anything holds, up to a bound, and after it the host is taken as alive.
+func (m *Model) at(host string, t float64) (s state, slow float64, seen bool) {
+	row, i := m.cells[host], int((t-m.start)/window)
+	if i < 0 {
+		return alive, 1, false
+	}
+	for k := i; k >= 0 && k > i-reach; k-- {
+		if k < len(row) {
+			if s := row[k].state(); s != unseen {
+				return s, row[k].slow(m.Host(host)), k == i
+			}
+		}
+	}
+	return alive, 1, false
+}
+
+// reach is for how many windows what was last seen of a host holds on.
+const reach = 20
+
+func (c *cell) state() state {
+	switch {
+	case c.good > 0:
+		return alive
+	case c.refused > 0 && c.refused >= c.failed || c.probeAbsent > 0 && c.failed == 0:
+		return dead
+	case c.probeFine > 0:
+		return alive
+	case c.failed > 0 || c.probeOther > 0:
+		return hung
+	}
+	return unseen
+}
+
+// slow is how many times longer than usual for the host a try took, without its waiting: even the fastest took so
+// long, and no more were done than cores so slow can do. Less than a half more is taken for chance.
+func (c *cell) slow(h Host) float64 {
+	x := c.fastest / h.Fastest
+	if c.good < 2 || x < 1.5 {
+		return 1
+	}
+	return math.Max(1, math.Min(x, float64(h.Cores)*window/(c.work*h.Speed)))
+}
+
+// Alive tells whether a probe at a time would be answered, and if not whether anything is there at all.
+func (m *Model) Alive(host string, t float64) (answers, there bool) {
+	s, _, _ := m.at(host, t)
+	return s == alive, s != dead
+}
+
+// Takes is how long an unhurried try of usual work takes at a host at a time.
+func (m *Model) Takes(class, host string, t float64) float64 {
+	_, slow, _ := m.at(host, t)
+	return m.usualTime(class) * m.Host(host).Speed * slow
+}
+
+// bounds of a transaction's work against its class's usual: beyond them a long answer was waiting, not work.
+const (
+	workLeast = 0.3
+	workMost  = 4.0
+	heldUp    = 1.5 // times its usual that the mean try took: tries waited for each other
+)
+
+// Work is what a transaction took against its class's usual, as told by a good try of it. Where tries waited for
+// each other a try's time tells little of its work, and it is taken as usual.
+func (m *Model) Work(class, host string, at, took float64) float64 {
+	row, i := m.cells[host], int((at+took-m.start)/window)
+	takes := m.Takes(class, host, at)
+	if i >= 0 && i < len(row) && row[i].good > 0 {
+		c := &row[i]
+		if h := m.Host(host); c.ratios/float64(c.good) > heldUp*h.Speed*c.slow(h) {
+			return 1
+		}
+	}
+	return math.Min(math.Max(took/takes, workLeast), workMost)
+}
--- /dev/null
+++ b/replay/scan.go
@@ -0,0 +1,238 @@
+package replay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+
+	"barleysail/internal/core"
+	"barleysail/internal/record/recordpb"
+	"barleysail/replay/response"
+)
+
+// Source is one recording of a day: a steward's life, or a proxy's.
+type Source struct {
+	Name string
+	Next Next
+}
+
+// Open gives all recordings of a day from their beginnings. It is called once for each pass over the day.
+type Open func() ([]Source, error)
+
+// Offset is how far a proxy's clock is behind its stewards', and how sure that is, in ms.
+type Offset struct{ By, Within float64 }
+
+// scan is what the first passes over a day find out.
+type scan struct {
+	lives   map[string]*recordpb.Start // by source
+	proxies map[string]*recordpb.ProxyStart
+	from    float64
+	ends    map[string]float64 // of each source's records
+	offsets map[string]Offset  // by proxy
+	late    float64            // from an answer to the next poll with its tag
+	model   *response.Model
+	loads   bool // hosts report their load
+}
+
+// each goes over all records of a day, one recording after the other.
+func each(open Open, f func(name string, r *recordpb.Record) error) error {
+	sources, err := open()
+	if err != nil {
+		return err
+	}
+	for _, s := range sources {
+		for {
+			r, err := s.Next()
+			if err != nil {
+				break // a torn end: what is there is used
+			}
+			if err := f(s.Name, r); err != nil {
+				return fmt.Errorf("%s: %w", s.Name, err)
+			}
+		}
+	}
+	return nil
+}
+
+// read makes two passes: the clocks and the classes' usual times, then the model of the hosts.
+func read(open Open) (*scan, error) {
+	sc := &scan{lives: map[string]*recordpb.Start{}, proxies: map[string]*recordpb.ProxyStart{}, from: math.Inf(1),
+		ends: map[string]float64{}, offsets: map[string]Offset{}}
+	usual := response.New(0)
+	published, polled, applied := map[string]float64{}, map[string]float64{}, map[string]map[string]float64{}
+	err := each(open, func(name string, r *recordpb.Record) error {
+		sc.ends[name] = math.Max(sc.ends[name], r.At)
+		switch x := r.What.(type) {
+		case *recordpb.Record_Start:
+			sc.lives[name], sc.from = x.Start, math.Min(sc.from, r.At)
+		case *recordpb.Record_ProxyStart:
+			sc.proxies[name], applied[name] = x.ProxyStart, map[string]float64{}
+		case *recordpb.Record_Published:
+			if _, ok := published[x.Published.Tag]; !ok { // again when a poll ends with nothing new
+				published[x.Published.Tag] = r.At
+			}
+		case *recordpb.Record_Poll:
+			for _, tag := range x.Poll.Tags {
+				if _, ok := polled[tag]; !ok {
+					polled[tag] = r.At
+				}
+			}
+		case *recordpb.Record_Applied:
+			applied[name][x.Applied] = r.At
+		case *recordpb.Record_Transaction:
+			for _, t := range x.Transaction.Tries {
+				if response.Outcome(t.Result) == response.Fulfilled {
+					usual.Usual(x.Transaction.Class, t.Took)
+				}
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(sc.lives) == 0 {
+		return nil, errNoStart
+	}
+	if len(sc.proxies) == 0 {
+		return nil, errors.New("no proxy's recording is among them: what came, and when, is not known")
+	}
+	sc.clocks(published, polled, applied)
+	usual.Begin(sc.from)
+	sc.model = usual
+	return sc, sc.fit(open)
+}
+
+// clocks estimates each proxy's offset. A version is published, then applied, then polled with: the steward's time
+// of the poll is never before the proxy's time of applying, nor that of publishing after it, so each version bounds
+// the offset from both sides. The middle is taken.
+func (sc *scan) clocks(published, polled map[string]float64, applied map[string]map[string]float64) {
+	late, n := 0.0, 0
+	for _, name := range slices.Sorted(maps.Keys(applied)) {
+		tags := applied[name]
+		most, least := math.Inf(1), math.Inf(-1)
+		for _, tag := range slices.Sorted(maps.Keys(tags)) { // in order: sums of figures depend on it
+			at := tags[tag]
+			if t, ok := polled[tag]; ok {
+				most = math.Min(most, t-at)
+				if p, ok := published[tag]; ok {
+					late, n = late+t-p, n+1
+				}
+			}
+			if t, ok := published[tag]; ok {
+				least = math.Max(least, t-at)
+			}
+		}
+		if !math.IsInf(most, 0) && !math.IsInf(least, 0) {
+			sc.offsets[name] = Offset{(most + least) / 2, math.Abs(most-least) / 2}
+		}
+	}
+	if n > 0 {
+		sc.late = late / float64(n)
+	}
+}
+
+// fit makes the pass that fits the model of the hosts.
+func (sc *scan) fit(open Open) error {
+	err := each(open, func(name string, r *recordpb.Record) error {
+		by := sc.offsets[name].By
+		switch x := r.What.(type) {
+		case *recordpb.Record_Transaction:
+			for _, t := range x.Transaction.Tries {
+				sc.model.Saw(x.Transaction.Class, t.Host, t.At+by, t.Took, response.Outcome(t.Result))
+			}
+		case *recordpb.Record_Probed:
+			sc.model.Probed(x.Probed.Host, r.At, x.Probed.Outcome == 0, x.Probed.Outcome == 3)
+		case *recordpb.Record_Sums:
+			for _, h := range x.Sums.Hosts {
+				if h.Load != nil && h.Load.Util >= 0 {
+					sc.loads = true
+					sc.model.Loaded(h.Host, r.At, h.Load.Util)
+				}
+			}
+		}
+		return nil
+	})
+	sc.model.Fit()
+	return err
+}
+
+// merged gives the records of all sources in order of time, on the stewards' clock. Transactions come by the time
+// at which they came, which is before the time of their record: they wait in a buffer as long as a client's
+// patience lasts.
+type merged struct {
+	sources []Source
+	offsets map[string]Offset
+	heads   []*recordpb.Record
+	buffer  core.Dues[item]
+	behind  float64
+}
+
+// item of a day: a record, of a source, at its time.
+type item struct {
+	at     float64
+	source string
+	record *recordpb.Record
+}
+
+func merge(open Open, offsets map[string]Offset, patience float64) (*merged, error) {
+	sources, err := open()
+	if err != nil {
+		return nil, err
+	}
+	m := &merged{sources: sources, offsets: offsets, heads: make([]*recordpb.Record, len(sources)), behind: patience}
+	for i := range sources {
+		m.fill(i)
+	}
+	return m, nil
+}
+
+func (m *merged) fill(i int) {
+	m.heads[i] = nil
+	r, err := m.sources[i].Next()
+	if err != nil {
+		return
+	}
+	if by := m.offsets[m.sources[i].Name].By; by != 0 {
+		r.At += by
+		if t := r.GetTransaction(); t != nil {
+			t.Came += by
+			for _, x := range t.Tries {
+				x.At += by
+			}
+		}
+	}
+	m.heads[i] = r
+}
+
+// next gives the next item, and io.EOF after the last.
+func (m *merged) next() (item, error) {
+	for {
+		first := -1
+		for i, r := range m.heads {
+			if r != nil && (first < 0 || r.At < m.heads[first].At) {
+				first = i
+			}
+		}
+		until := math.Inf(1)
+		if first >= 0 {
+			until = m.heads[first].At - m.behind
+		}
+		if x, ok := m.buffer.Pop(until); ok {
+			return x, nil
+		}
+		if first < 0 {
+			return item{}, io.EOF
+		}
+		r := m.heads[first]
+		x := item{r.At, m.sources[first].Name, r}
+		if t := r.GetTransaction(); t != nil {
+			x.at = t.Came
+		}
+		m.buffer.Add(x.at, x)
+		m.fill(first)
+	}
+}
--- /dev/null
+++ b/replay/transactions.go
@@ -0,0 +1,162 @@
+package replay
+
+import (
+	"fmt"
+	"slices"
+
+	"barleysail/decide"
+	"barleysail/internal/record/recordpb"
+	"barleysail/replay/response"
+	"barleysail/steward"
+)
+
+// carried is a transaction on its way.
+type carried struct {
+	class    string
+	k        int
+	came     float64
+	work     float64
+	patience float64
+	due      float64
+	id       string
+	tried    []string
+	tries    int
+	ran      int // tries that ran, or may have
+}
+
+// transaction plays one at the time at which it came.
+func (e *engine) transaction(name, zone string, t *recordpb.Transaction) {
+	k, ok := e.class[t.Class]
+	if !ok {
+		return
+	}
+	p, c := e.proxy(name, zone), e.set.Classes[k]
+	w := e.window(t.Came)
+	w.Asked[k] += c.Earnings
+	if last := len(t.Tries) - 1; t.Fulfilled && t.Tries[last].At+t.Tries[last].Took-t.Came <= c.Due {
+		w.Recorded[k] += c.Earnings
+	}
+	u := p.sums.Usage[t.Class]
+	u.Came++
+	p.sums.Usage[t.Class] = u
+	e.counter++
+	x := &carried{class: t.Class, k: k, came: e.now, patience: c.Patience, due: c.Due, work: e.work(t),
+		id: fmt.Sprintf("%s-%d", name, e.counter)}
+	table := p.tables[t.Class]
+	if !table.Ordered { // it went by hosts of its own, which no steward ordered
+		e.out.AsSeen++
+		if last := len(t.Tries) - 1; t.Fulfilled && t.Tries[last].At+t.Tries[last].Took-t.Came <= c.Due {
+			w.Replayed[k] += c.Earnings
+		}
+		return
+	}
+	if table.Share < 1 && e.chance() >= table.Share {
+		return
+	}
+	x.tries = table.Tries
+	e.try(p, x)
+}
+
+// work is what a transaction took against its class's usual time, as far as its record tells.
+func (e *engine) work(t *recordpb.Transaction) float64 {
+	for _, x := range t.Tries {
+		if response.Outcome(x.Result) == response.Fulfilled {
+			return e.scan.model.Work(t.Class, x.Host, x.At, x.Took)
+		}
+	}
+	return 1
+}
+
+// window gives the window of a time.
+func (e *engine) window(at float64) *Window {
+	i := max(int((at-e.out.From)/windowLength), 0)
+	n := len(e.out.Classes)
+	for len(e.out.Windows) <= i {
+		e.out.Windows = append(e.out.Windows, Window{make([]float64, n), make([]float64, n), make([]float64, n)})
+	}
+	return &e.out.Windows[i]
+}
+
+// try makes a try by the proxy's present table, at a host that was not tried.
+func (e *engine) try(p *proxy, x *carried) {
+	host, ok := e.pick(p.tables[x.class], x.tried)
+	if !ok {
+		e.lost(p, x)
+		return
+	}
+	began := e.now
+	done, how := e.hosts.Answer(x.class, host, e.now, x.work, x.came+x.patience-e.now)
+	fit := e.scan.model.Host(host)
+	e.journal.Arrived(e.now, host, p.name, x.class, x.id, e.scan.model.Takes(x.class, host, e.now)/fit.Speed*x.work, how != response.NeverRan)
+	x.tried = append(x.tried, host)
+	if how != response.NeverRan {
+		x.ran++
+	}
+	if e.set.Figures.Once[x.class] && len(x.tried) == 1 {
+		e.once++
+	}
+	if e.set.Figures.Once[x.class] && x.ran == 2 {
+		e.doubled++
+	}
+	e.dues.Add(done, func() { e.ended(p, x, host, began, how) })
+}
+
+func (e *engine) ended(p *proxy, x *carried, host string, began float64, how response.Outcome) {
+	v, met := p.sums.Hosts[host]
+	if !met {
+		v.Load = decide.NoLoad
+	}
+	if v.Tries++; how == response.Fulfilled {
+		v.Mean += e.now - began // a sum until it is reported
+	} else {
+		v.Failed++
+	}
+	p.sums.Hosts[host] = v
+	switch {
+	case how == response.Fulfilled:
+		if e.now-x.came <= x.due {
+			e.window(x.came).Replayed[x.k] += e.set.Classes[x.k].Earnings
+		}
+	case e.now < x.came+x.patience && again(x.tries, len(x.tried), how):
+		e.try(p, x)
+	default:
+		e.lost(p, x)
+	}
+}
+
+// again tells whether a proxy tries again after so many tries: as its table says.
+func again(tries, made int, last response.Outcome) bool {
+	most := tries
+	if tries > 1 {
+		most = tries - 1
+	}
+	return made <= most && (last == response.NeverRan || tries > 1)
+}
+
+func (e *engine) lost(p *proxy, x *carried) {
+	if u := p.sums.Usage[x.class]; u.Unanswered < u.Came {
+		u.Unanswered++
+		p.sums.Usage[x.class] = u
+	}
+}
+
+// pick draws a host by weight, none that was tried.
+func (e *engine) pick(t steward.Table, tried []string) (string, bool) {
+	total := 0.0
+	for i, host := range t.Hosts {
+		if !slices.Contains(tried, host) {
+			total += t.Weights[i]
+		}
+	}
+	at, last, found := e.chance()*total, "", false
+	for i, host := range t.Hosts {
+		if slices.Contains(tried, host) {
+			continue
+		}
+		if last, found = host, true; at < t.Weights[i] {
+			break
+		}
+		at -= t.Weights[i]
+	}
+	return last, found
+}
--- a/steward/members.go
+++ b/steward/members.go
@@ -4,6 +4,8 @@
 	"math"
 	"strings"
 	"unicode"
+
+	"barleysail/internal/core"
 )
 
 // member is a proxy that has joined.
@@ -46,7 +48,7 @@
 	byIndex []*member
 	number  int64 // of the newest version given out
 	held    int
-	dues    dues[string]
+	dues    core.Dues[string]
 }
 
 // mostProxies bounds the joined proxies: tables of their own are numbered below decide.AllTables.
@@ -176,7 +178,7 @@
 // expire answers polls whose time is over, and lets proxies leave that were not heard.
 func (s *Steward) expire() {
 	for {
-		name, ok := s.members.dues.pop(s.now)
+		name, ok := s.members.dues.Pop(s.now)
 		if !ok {
 			return
 		}
@@ -202,11 +204,11 @@
 func (ms *members) watch(m *member, at float64) {
 	if at < m.noted {
 		m.noted = at
-		ms.dues.add(at, m.name)
+		ms.dues.Add(at, m.name)
 	}
 }
 
-func (ms *members) next() float64 { return ms.dues.next() }
+func (ms *members) next() float64 { return ms.dues.Next() }
 
 // unhold ends the holding of a poll; from then on the proxy has to poll again.
 func (s *Steward) unhold(m *member) {
--- a/steward/view.go
+++ b/steward/view.go
@@ -196,3 +196,28 @@
 	}
 	return append(out, '}')
 }
+
+// Table is what an answer holds for a class, as a value: hosts in order, and whether any were ordered at all.
+type Table struct {
+	Class   string
+	Ordered bool
+	Hosts   []string
+	Weights []float64
+	Share   float64
+	Tries   int
+}
+
+// Tables gives what the proxy holds once it has taken the answer in, for callers that need no document.
+func (a Answer) Tables() []Table {
+	var all []Table
+	for _, c := range a.view.classes {
+		t := Table{Class: c.name, Ordered: c.bound, Share: c.level.share, Tries: c.level.tries}
+		if c.bound {
+			for _, l := range c.lines {
+				t.Hosts, t.Weights = append(t.Hosts, l.host), append(t.Weights, l.weight)
+			}
+		}
+		all = append(all, t)
+	}
+	return all
+}
