--- a/cmd/barleysail/whatif.go
+++ b/cmd/barleysail/whatif.go
@@ -192,7 +192,7 @@
 	if w.json {
 		e := json.NewEncoder(out)
 		e.SetIndent("", "  ")
-		return e.Encode(map[string]any{"comparison": finite(c), "same": one.Verdicts, "other": other.Verdicts})
+		return e.Encode(map[string]any{"comparison": finite(c), "same": one, "other": other})
 	}
 	w.print(out, one, other, c)
 	return nil
@@ -241,10 +241,34 @@
 		fmt.Fprintf(out, "parted at %.0f s: service %.3f, with the other %.3f\n", (p.From-one.From)/1000, p.One, p.Other)
 	}
 	widest := 0.0
-	for _, by := range one.Offsets {
-		widest = math.Max(widest, by.Within)
+	jumps := 0
+	for _, all := range one.Offsets {
+		jumps += len(all) - 1
+		for _, by := range all {
+			widest = math.Max(widest, by.Within)
+		}
+	}
+	fmt.Fprintf(out, "clocks of %d proxies set to the stewards', within %.1f ms; %d were set anew during the day\n", len(one.Offsets),
+		widest, jumps)
+	if one.Doubled > 0 {
+		fmt.Fprintf(out, "%d transactions were recorded twice, and are played once\n", one.Doubled)
+	}
+	for _, day := range []struct {
+		name string
+		of   *replay.Outcome
+	}{{"replayed", one}, {"with the other setting", other}} {
+		fmt.Fprintf(out, "changes of mode, %s:\n", day.name)
+		for i, m := range day.of.Moments {
+			if i == modesShown {
+				fmt.Fprintf(out, "  and %d more\n", len(day.of.Moments)-i)
+				break
+			}
+			fmt.Fprintf(out, "  %9.3f s  %s\n", (m.At-day.of.From)/1000, m.Text)
+		}
 	}
-	fmt.Fprintf(out, "clocks of %d proxies set to the stewards', within %.1f ms\n", len(one.Offsets), widest)
 }
 
+// modesShown are told of each day; all are in the JSON.
+const modesShown = 15
+
 func percent(part, all int) float64 { return 100 * float64(part) / math.Max(float64(all), 1) }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -513,6 +513,28 @@
 	until(t, "the list again", func() bool { st := d.core.status(); return st.Hosts == 3 && !st.ListFailed })
 }
 
+// A clean end answers the polls that are held, with what stands, and takes no more.
+func TestStopAnswersPolls(t *testing.T) {
+	d := begin(t, "")
+	tag := d.do("GET", "/v1/proxies/p/tables?zone=a", "").header.Get("Etag")
+	answer := make(chan got)
+	go func() {
+		answer <- d.do("GET", "/v1/proxies/p/tables?zone=a", "", "If-None-Match", tag, "Prefer", "wait=30")
+	}()
+	until(t, "a held poll", func() bool { return d.core.status().Polls == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := d.Stop(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if g := <-answer; g.status != 304 || g.header.Get("Etag") != tag {
+		t.Errorf("%+v", g)
+	}
+	if g := d.do("GET", "/v1/status", ""); g.status != 0 {
+		t.Errorf("after the end: %+v", g)
+	}
+}
+
 func TestMain(m *testing.M) {
 	zerolog.SetGlobalLevel(zerolog.InfoLevel)
 	os.Exit(m.Run())
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -128,8 +128,8 @@
 		t.Errorf("recorded %.3f, replayed %.3f, %d tries", all.Recorded, all.One, o.Tries)
 	}
 	for name, by := range o.Offsets { // one machine, one clock
-		if math.Abs(by.By) > 20 {
-			t.Errorf("%s is taken to be %.1f ms off", name, by.By)
+		if len(by) != 1 || math.Abs(by[0].By) > 20 {
+			t.Errorf("%s is taken to be off: %+v", name, by)
 		}
 	}
 }
--- a/replay/other.go
+++ b/replay/other.go
@@ -39,9 +39,10 @@
 	Messages int // wholes and deltas sent
 	Moments  []Moment
 	Tries    int
-	Beyond   int // answers of hosts that are extrapolated
-	AsSeen   int // transactions of proxies without tables, taken as recorded
-	Offsets  map[string]Offset
+	Beyond   int                 // answers of hosts that are extrapolated
+	AsSeen   int                 // transactions of proxies without tables, taken as recorded
+	Offsets  map[string][]Offset // of the proxies' clocks
+	Doubled  int                 // transactions recorded twice, played once
 }
 
 const windowLength = 5000.0
@@ -63,7 +64,7 @@
 	}
 	e := &engine{set: set, scan: sc, hosts: response.NewHosts(sc.model), journal: rules.NewJournal(),
 		lives: map[string]*life{}, proxies: map[string]*proxy{}, class: map[string]int{},
-		out: &Outcome{From: sc.from, Offsets: map[string]Offset{}}}
+		out: &Outcome{From: sc.from, Offsets: map[string][]Offset{}}}
 	e.journal.Lean()
 	for i, c := range set.Classes {
 		e.class[c.Name] = i
@@ -83,6 +84,7 @@
 		}
 	}
 	e.until(e.now + patience)
+	e.out.Doubled = m.Doubled
 	e.finish()
 	return e.out, nil
 }
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"barleysail/decide"
 	"barleysail/internal/config"
@@ -269,46 +270,221 @@
 	b.ReportMetric(float64(b.Elapsed().Seconds())/float64(b.N)*60, "s/hour-of-day")
 }
 
-// BenchmarkReplay plays a minute of 150 hosts, 400 proxies and 580 transactions a second against a setting.
-func BenchmarkReplay(b *testing.B) {
-	const seconds, hosts, proxies, rate = 60, 150, 400, 580
-	var day []*recordpb.Record
-	play(seconds, hosts, proxies, func(r *recordpb.Record) { day = append(day, r) })
-	open := func() ([]Source, error) {
-		all := []Source{{"steward", func() Next {
-			next := from(day)
-			return func() (*recordpb.Record, error) {
-				r, err := next()
-				if err == nil {
-					r = proto.Clone(r).(*recordpb.Record)
-				}
-				return r, err
+// traffic is a day of a steward and its proxies: each proxy's transactions, and the versions that it applied. The
+// record of a transaction may be changed, or left out by nil, or given more than once.
+func traffic(seconds, hosts, proxies, rate int, day []*recordpb.Record, offset func(p int, at float64) float64,
+	change func(p, n int, r *recordpb.Record) []*recordpb.Record) Open {
+	applied := map[string][]*recordpb.Record{}
+	for _, r := range day {
+		if p := r.GetPublished(); p != nil && steward.Kind(p.Kind) != steward.Same {
+			applied[p.Proxy] = append(applied[p.Proxy], &recordpb.Record{At: r.At, What: &recordpb.Record_Applied{Applied: p.Tag}})
+		}
+	}
+	return func() ([]Source, error) {
+		next := from(day)
+		all := []Source{{"steward", func() (*recordpb.Record, error) {
+			r, err := next()
+			if err == nil {
+				r = proto.Clone(r).(*recordpb.Record)
 			}
-		}()}}
+			return r, err
+		}}}
 		for p := range proxies {
-			n := 0
+			name, n := fmt.Sprint("p", p), 0
+			ahead := []*recordpb.Record{{At: 1000, What: &recordpb.Record_ProxyStart{ProxyStart: &recordpb.ProxyStart{Proxy: name, Zone: []string{"a", "b"}[p%2]}}}}
+			versions := applied[name]
 			all = append(all, Source{fmt.Sprint("proxy", p), func() (*recordpb.Record, error) {
-				n++
-				at := 1000 + float64(n-1)*1000*proxies/rate + float64(p)
-				if n == 1 {
-					return &recordpb.Record{At: at, What: &recordpb.Record_ProxyStart{ProxyStart: &recordpb.ProxyStart{Proxy: fmt.Sprint("p", p), Zone: []string{"a", "b"}[p%2]}}}, nil
-				} else if at > seconds*1000 {
-					return nil, io.EOF
+				for len(ahead) == 0 {
+					at := 1000 + float64(n)*1000*float64(proxies)/float64(rate) + float64(p)
+					if at > float64(seconds)*1000 {
+						return nil, io.EOF
+					}
+					took := 40 + float64(n*p%50)
+					if len(versions) > 0 && versions[0].At <= at {
+						ahead, versions = versions[:1:1], versions[1:]
+						break
+					}
+					n++
+					ahead = change(p, n, &recordpb.Record{At: at + took, What: &recordpb.Record_Transaction{Transaction: &recordpb.Transaction{
+						Class: "sheet", Came: at, LetIn: true, Fulfilled: true,
+						Tries: []*recordpb.Try{{At: at, Host: fmt.Sprintf("10.0.0.%d:80", (n*7+p)%hosts), Took: took}}}}})
 				}
-				took := 40 + float64(n*p%50)
-				return &recordpb.Record{At: at + took, What: &recordpb.Record_Transaction{Transaction: &recordpb.Transaction{Class: "sheet", Came: at, LetIn: true,
-					Fulfilled: true, Tries: []*recordpb.Try{{At: at, Host: fmt.Sprintf("10.0.0.%d:80", (n*7+p)%hosts), Took: took}}}}}, nil
+				r := ahead[0]
+				ahead = ahead[1:]
+				by := offset(p, r.At)
+				r = proto.Clone(r).(*recordpb.Record)
+				if t := r.GetTransaction(); t != nil {
+					t.Came += by
+					for _, x := range t.Tries {
+						x.At += by
+					}
+				}
+				r.At += by
+				return r, nil
 			}})
 		}
 		return all, nil
 	}
+}
+
+func still(int, float64) float64                              { return 0 }
+func asItWas(_, _ int, r *recordpb.Record) []*recordpb.Record { return []*recordpb.Record{r} }
+
+func plainSetting() Setting {
 	set := Setting{Make: build, Probes: 250, Classes: []steward.Class{{Name: "sheet", Class: decide.Class{Due: 1000, Patience: 2500, Earnings: 3}},
 		{Name: "finish", Class: decide.Class{Due: 500, Patience: 1200, Earnings: 9}}}}
-	set.Figures.Bare, set.Figures.Grace, set.Figures.Cold, set.Figures.Fall, set.Figures.LinesPerS, set.Figures.MostWaiting = 5000, 3000, 18000, 3000, 1e6, 1e6
+	f := &set.Figures
+	f.Bare, f.Grace, f.Cold, f.Multiple, f.Fall, f.LinesPerS, f.MostWaiting = 5000, 3000, 18000, 4, 3000, 1e6, 1e6
+	return set
+}
+
+// Odd records: a day is played whatever is wrong with a part of it, and what was wrong is told.
+func TestOddRecords(t *testing.T) {
+	day := made()
+	play := func(offset func(int, float64) float64, change func(p, n int, r *recordpb.Record) []*recordpb.Record) *Outcome {
+		t.Helper()
+		o, err := Replay(traffic(30, 12, 4, 100, day, offset, change), plainSetting())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return o
+	}
+	asked := func(o *Outcome) (n float64) {
+		for _, w := range o.Windows {
+			n += w.Asked[0] / 3
+		}
+		return n
+	}
+	plain := play(still, asItWas)
+	if n := asked(plain); n < 2890 || n > 2910 || Compare(plain, plain, 1).All.One < 0.97 {
+		t.Fatalf("%.0f transactions, %+v", n, Compare(plain, plain, 1).All)
+	}
+	doubled := play(still, func(_, n int, r *recordpb.Record) []*recordpb.Record {
+		if n%10 == 0 {
+			return []*recordpb.Record{r, r}
+		}
+		return []*recordpb.Record{r}
+	})
+	if asked(doubled) != asked(plain) || doubled.Doubled < 280 || Compare(plain, doubled, 1).All.Difference.Value != 0 {
+		t.Errorf("doubled: %.0f transactions, %d told", asked(doubled), doubled.Doubled)
+	}
+	held := map[int][]*recordpb.Record{}
+	shuffled := play(still, func(p, n int, r *recordpb.Record) []*recordpb.Record {
+		if n == 1 {
+			delete(held, p) // another pass over the day
+		}
+		h := append(held[p], r)
+		if held[p] = h; len(h) < 5 {
+			return nil
+		}
+		delete(held, p)
+		return []*recordpb.Record{h[3], h[0], h[4], h[1], h[2]}
+	})
+	if n := asked(shuffled); n < asked(plain)-80 || Compare(shuffled, shuffled, 1).All.One < 0.97 {
+		t.Errorf("out of order: %.0f transactions", n)
+	}
+	missing := play(still, func(_, _ int, r *recordpb.Record) []*recordpb.Record {
+		if r.At > 10000 && r.At < 20000 {
+			return nil
+		}
+		return []*recordpb.Record{r}
+	})
+	if n := asked(missing); n < 1850 || n > 1960 {
+		t.Errorf("ten seconds missing: %.0f transactions", n)
+	}
+	jumped := play(func(p int, at float64) float64 {
+		if p == 1 && at > 15000 {
+			return -4000
+		}
+		return 300 * float64(p)
+	}, asItWas)
+	// The proxies of this day poll once a second, so their clocks are known to half of that.
+	if by := jumped.Offsets["p1"]; len(by) != 2 || math.Abs(by[0].By+300) > by[0].Within+5 || math.Abs(by[1].By-4000) > by[1].Within+5 {
+		t.Errorf("a clock that was set back: %+v", by)
+	}
+	if by := jumped.Offsets["p3"]; len(by) != 1 || math.Abs(by[0].By+900) > by[0].Within+5 || by[0].Within > 500 {
+		t.Errorf("a clock that is off: %+v", by)
+	}
+	early := play(still, func(_, n int, r *recordpb.Record) []*recordpb.Record {
+		if n == 1 { // a transaction whose first try lies before the beginning
+			t := r.GetTransaction()
+			t.Came, t.Tries[0].At = -500, -500
+			t.Tries = append([]*recordpb.Try{{At: -2000, Host: "10.0.0.1:80", Took: 1400, Result: 1}}, t.Tries...)
+		}
+		return []*recordpb.Record{r}
+	})
+	if asked(early) != asked(plain) {
+		t.Errorf("first tries before the beginning: %.0f transactions", asked(early))
+	}
+	cancelled := play(still, func(_, n int, r *recordpb.Record) []*recordpb.Record {
+		if n%3 == 0 { // given up while the answer was on its way
+			x := r.GetTransaction()
+			x.Fulfilled, x.Tries[0].Result, x.Tries[0].Took = false, 1, 2500
+			r.At = x.Came + 2500
+		}
+		return []*recordpb.Record{r}
+	})
+	if c := Compare(cancelled, cancelled, 1).All; c.Recorded > 0.7 || c.Recorded < 0.6 {
+		t.Errorf("cancelled: %+v", c)
+	}
+	seldom := play(still, func(_, n int, r *recordpb.Record) []*recordpb.Record {
+		r.GetTransaction().Tries[0].Host = "10.0.0.3:80" // all others were never tried in the record
+		return []*recordpb.Record{r}
+	})
+	if float64(seldom.Beyond) < 0.8*float64(seldom.Tries) {
+		t.Errorf("%d of %d answers extrapolated", seldom.Beyond, seldom.Tries)
+	}
+}
+
+// Whatever is changed in a record, a replay ends, and tells a difference where the answers are not the record's.
+func TestChangedRecords(t *testing.T) {
+	day := made()
+	rapid.Check(t, func(r *rapid.T) {
+		changed := append([]*recordpb.Record(nil), day...)
+		for range rapid.IntRange(1, 4).Draw(r, "changes") {
+			i, j := rapid.IntRange(1, len(changed)-1).Draw(r, "i"), rapid.IntRange(1, len(changed)-1).Draw(r, "j")
+			switch rapid.IntRange(0, 3).Draw(r, "how") {
+			case 0:
+				changed[i], changed[j] = changed[j], changed[i]
+			case 1:
+				changed = append(changed[:i:i], changed[i+1:]...)
+			case 2:
+				changed = append(changed[:i:i], append([]*recordpb.Record{changed[j]}, changed[i:]...)...)
+			case 3:
+				x := proto.Clone(changed[i]).(*recordpb.Record)
+				x.At += rapid.Float64Range(-20000, 20000).Draw(r, "by")
+				changed[i] = x
+			}
+		}
+		s, err := Again(from(changed), build)
+		if err != nil {
+			r.Fatal(err)
+		}
+		recorded := 0
+		for _, x := range changed {
+			if x.GetPublished() != nil {
+				recorded++
+			}
+		}
+		if s.First == nil && s.Answers != recorded {
+			r.Fatalf("%d answers agreed of %d recorded, and no difference is told", s.Answers, recorded)
+		}
+		if _, err := Summarize(from(changed), build); err != nil {
+			r.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkReplay plays a minute of 150 hosts, 400 proxies and 580 transactions a second against a setting.
+func BenchmarkReplay(b *testing.B) {
+	const seconds, hosts, proxies, rate = 60, 150, 400, 580
+	var day []*recordpb.Record
+	play(seconds, hosts, proxies, func(r *recordpb.Record) { day = append(day, r) })
+	open := traffic(seconds, hosts, proxies, rate, day, still, asItWas)
 	b.ResetTimer()
 	tries := 0
 	for range b.N {
-		o, err := Replay(open, set)
+		o, err := Replay(open, plainSetting())
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/replay/scan.go
+++ b/replay/scan.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -8,7 +9,10 @@
 	"math"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"barleysail/internal/core"
+	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
 	"barleysail/replay/response"
 )
@@ -22,17 +26,44 @@
 // Open gives all recordings of a day from their beginnings. It is called once for each pass over the day.
 type Open func() ([]Source, error)
 
-// Offset is how far a proxy's clock is behind its stewards', and how sure that is, in ms.
-type Offset struct{ By, Within float64 }
+// Offset is how far a proxy's clock is behind its stewards', and how sure that is, in ms. A clock that was set anew
+// during the day has more than one, each from the version named on.
+type Offset struct {
+	Version    string
+	By, Within float64
+}
+
+// shifter puts a proxy's records onto the stewards' clock, in the order in which they were written.
+type shifter struct {
+	offsets []Offset
+	at      int
+}
+
+func (s *shifter) shift(r *recordpb.Record) {
+	if len(s.offsets) == 0 {
+		return
+	}
+	if tag := r.GetApplied(); tag != "" && s.at+1 < len(s.offsets) && tag == s.offsets[s.at+1].Version {
+		s.at++
+	}
+	by := s.offsets[s.at].By
+	r.At += by
+	if t := r.GetTransaction(); t != nil {
+		t.Came += by
+		for _, x := range t.Tries {
+			x.At += by
+		}
+	}
+}
 
 // scan is what the first passes over a day find out.
 type scan struct {
 	lives   map[string]*recordpb.Start // by source
 	proxies map[string]*recordpb.ProxyStart
 	from    float64
-	ends    map[string]float64 // of each source's records
-	offsets map[string]Offset  // by proxy
-	late    float64            // from an answer to the next poll with its tag
+	ends    map[string]float64  // of each source's records
+	offsets map[string][]Offset // by proxy
+	late    float64             // from an answer to the next poll with its tag
 	model   *response.Model
 	loads   bool // hosts report their load
 }
@@ -60,7 +91,7 @@
 // read makes two passes: the clocks and the classes' usual times, then the model of the hosts.
 func read(open Open) (*scan, error) {
 	sc := &scan{lives: map[string]*recordpb.Start{}, proxies: map[string]*recordpb.ProxyStart{}, from: math.Inf(1),
-		ends: map[string]float64{}, offsets: map[string]Offset{}}
+		ends: map[string]float64{}, offsets: map[string][]Offset{}}
 	usual := response.New(0)
 	published, polled, applied := map[string]float64{}, map[string]float64{}, map[string]map[string]float64{}
 	err := each(open, func(name string, r *recordpb.Record) error {
@@ -108,26 +139,33 @@
 
 // clocks estimates each proxy's offset. A version is published, then applied, then polled with: the steward's time
 // of the poll is never before the proxy's time of applying, nor that of publishing after it, so each version bounds
-// the offset from both sides. The middle is taken.
+// the offset from both sides. The middle is taken. Where a version's bounds leave nothing of those before it the
+// clock was set anew between them.
 func (sc *scan) clocks(published, polled map[string]float64, applied map[string]map[string]float64) {
 	late, n := 0.0, 0
 	for _, name := range slices.Sorted(maps.Keys(applied)) {
 		tags := applied[name]
-		most, least := math.Inf(1), math.Inf(-1)
-		for _, tag := range slices.Sorted(maps.Keys(tags)) { // in order: sums of figures depend on it
-			at := tags[tag]
-			if t, ok := polled[tag]; ok {
-				most = math.Min(most, t-at)
-				if p, ok := published[tag]; ok {
-					late, n = late+t-p, n+1
-				}
+		order := slices.Sorted(maps.Keys(tags))
+		slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(published[a], published[b]) })
+		var bounds offsetBounds
+		for _, tag := range order {
+			t, asked := polled[tag]
+			p, sent := published[tag]
+			if !asked || !sent {
+				continue
+			}
+			late, n = late+t-p, n+1
+			if !bounds.narrow(p-tags[tag], t-tags[tag]) {
+				sc.offsets[name] = append(sc.offsets[name], bounds.offset())
+				bounds = offsetBounds{}
+				bounds.narrow(p-tags[tag], t-tags[tag])
 			}
-			if t, ok := published[tag]; ok {
-				least = math.Max(least, t-at)
+			if bounds.n == 1 {
+				bounds.version = tag
 			}
 		}
-		if !math.IsInf(most, 0) && !math.IsInf(least, 0) {
-			sc.offsets[name] = Offset{(most + least) / 2, math.Abs(most-least) / 2}
+		if bounds.n > 0 {
+			sc.offsets[name] = append(sc.offsets[name], bounds.offset())
 		}
 	}
 	if n > 0 {
@@ -135,14 +173,45 @@
 	}
 }
 
+// offsetBounds are what versions leave of a clock's offset.
+type offsetBounds struct {
+	version     string
+	least, most float64
+	n           int
+}
+
+// slack of a clock's bounds: times are noted a moment after what they are of.
+const slack = 2.0
+
+// narrow takes in a version's bounds, unless nothing would be left.
+func (b *offsetBounds) narrow(least, most float64) bool {
+	if b.n > 0 && (least > b.most+slack || most < b.least-slack) {
+		return false
+	}
+	if b.n++; b.n == 1 {
+		b.least, b.most = least, most
+	} else {
+		b.least, b.most = math.Max(b.least, least), math.Min(b.most, most)
+	}
+	return true
+}
+
+func (b *offsetBounds) offset() Offset {
+	return Offset{b.version, (b.least + b.most) / 2, math.Abs(b.most-b.least) / 2}
+}
+
 // fit makes the pass that fits the model of the hosts.
 func (sc *scan) fit(open Open) error {
+	clocks := map[string]*shifter{}
 	err := each(open, func(name string, r *recordpb.Record) error {
-		by := sc.offsets[name].By
+		if clocks[name] == nil {
+			clocks[name] = &shifter{offsets: sc.offsets[name]}
+		}
+		clocks[name].shift(r)
 		switch x := r.What.(type) {
 		case *recordpb.Record_Transaction:
 			for _, t := range x.Transaction.Tries {
-				sc.model.Saw(x.Transaction.Class, t.Host, t.At+by, t.Took, response.Outcome(t.Result))
+				sc.model.Saw(x.Transaction.Class, t.Host, t.At, t.Took, response.Outcome(t.Result))
 			}
 		case *recordpb.Record_Probed:
 			sc.model.Probed(x.Probed.Host, r.At, x.Probed.Outcome == 0, x.Probed.Outcome == 3)
@@ -165,8 +234,10 @@
 // patience lasts.
 type merged struct {
 	sources []Source
-	offsets map[string]Offset
+	clocks  []shifter
 	heads   []*recordpb.Record
+	seen    map[uint32]float64 // sums of transactions that came lately, and their times
+	Doubled int                // transactions that were recorded twice, and are played once
 	buffer  core.Dues[item]
 	behind  float64
 }
@@ -178,13 +249,15 @@
 	record *recordpb.Record
 }
 
-func merge(open Open, offsets map[string]Offset, patience float64) (*merged, error) {
+func merge(open Open, offsets map[string][]Offset, patience float64) (*merged, error) {
 	sources, err := open()
 	if err != nil {
 		return nil, err
 	}
-	m := &merged{sources: sources, offsets: offsets, heads: make([]*recordpb.Record, len(sources)), behind: patience}
+	m := &merged{sources: sources, clocks: make([]shifter, len(sources)), heads: make([]*recordpb.Record, len(sources)),
+		seen: map[uint32]float64{}, behind: patience}
 	for i := range sources {
+		m.clocks[i].offsets = offsets[sources[i].Name]
 		m.fill(i)
 	}
 	return m, nil
@@ -196,15 +269,7 @@
 	if err != nil {
 		return
 	}
-	if by := m.offsets[m.sources[i].Name].By; by != 0 {
-		r.At += by
-		if t := r.GetTransaction(); t != nil {
-			t.Came += by
-			for _, x := range t.Tries {
-				x.At += by
-			}
-		}
-	}
+	m.clocks[i].shift(r)
 	m.heads[i] = r
 }
 
@@ -232,7 +297,37 @@
 		if t := r.GetTransaction(); t != nil {
 			x.at = t.Came
 		}
-		m.buffer.Add(x.at, x)
+		if !m.again(x) {
+			m.buffer.Add(x.at, x)
+		}
 		m.fill(first)
 	}
 }
+
+// again tells whether a transaction was recorded before, lately.
+func (m *merged) again(x item) bool {
+	if x.record.GetTransaction() == nil {
+		return false
+	}
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(x.record)
+	if err != nil {
+		return false
+	}
+	sum := record.Sum(append(body, x.source...))
+	if _, ok := m.seen[sum]; ok {
+		m.Doubled++
+		return true
+	}
+	m.seen[sum] = x.at
+	if len(m.seen) > seenMost {
+		for sum, at := range m.seen {
+			if at < x.at-m.behind {
+				delete(m.seen, sum)
+			}
+		}
+	}
+	return false
+}
+
+// seenMost transactions are remembered before old ones are forgotten.
+const seenMost = 50000
