Solve for the weights and shares that earn most, and plan changes of a fleet

Change: package solver, a linear programme by gonum's simplex method over groups of hosts alike, caps mu - K as in the design, prices of caps, least shares that name what cannot be met, what-if changes, drains in steps, the gap of a table; barleysail solve and plan. The module and its tables are untouched.

--- a/cmd/barleysail/main.go
+++ b/cmd/barleysail/main.go
@@ -15,7 +15,7 @@
 func main() {
 	root := &cobra.Command{Use: "barleysail", Short: "A control service that publishes weighted tables to plain proxies",
 		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true}}
-	root.AddCommand(runCommand(), rehearseCommand(), replayCommand(), daysCommand(), configCommand(), &cobra.Command{Use: "version", Short: "Print the version",
+	root.AddCommand(runCommand(), rehearseCommand(), replayCommand(), daysCommand(), solveCommand(), planCommand(), configCommand(), &cobra.Command{Use: "version", Short: "Print the version",
 		Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "barleysail", version) }})
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "barleysail:", err)
--- /dev/null
+++ b/solver/plan.go
@@ -0,0 +1,260 @@
+package solver
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+)
+
+// Change is a what-if question.
+type Change struct {
+	Drain  []string // hosts
+	Lose   []string // zones, with their hosts; their proxies stay
+	Demand float64  // times; 0: as it is
+	Add    []Host
+}
+
+// With gives the problem after a change.
+func (p *Problem) With(c Change) (*Problem, error) {
+	q := *p
+	q.Hosts = append(slices.Clone(p.Hosts), c.Add...)
+	for _, name := range c.Drain {
+		i := slices.IndexFunc(q.Hosts, func(h Host) bool { return h.Name == name })
+		if i < 0 {
+			return nil, &Fault{"drain", fmt.Sprintf("no host is named %q", name)}
+		}
+		q.Hosts[i].Draining = true
+	}
+	for _, zone := range c.Lose {
+		if !slices.Contains(q.Zones, zone) {
+			return nil, &Fault{"lose", fmt.Sprintf("no zone is named %q", zone)}
+		}
+		for i := range q.Hosts {
+			q.Hosts[i].Draining = q.Hosts[i].Draining || q.Hosts[i].Zone == zone
+		}
+	}
+	if c.Demand < 0 || math.IsNaN(c.Demand) || math.IsInf(c.Demand, 0) {
+		return nil, &Fault{"demand", fmt.Sprintf("%g times", c.Demand)}
+	}
+	if c.Demand > 0 {
+		q.Demand = map[string]map[string]float64{}
+		for class, by := range p.Demand {
+			q.Demand[class] = map[string]float64{}
+			for zone, d := range by {
+				q.Demand[class][zone] = d * c.Demand
+			}
+		}
+	}
+	return &q, nil
+}
+
+// Pace is what a change of the tables costs: each line goes to every proxy over the steward's channel.
+type Pace struct {
+	Proxies   int
+	LinesPerS float64
+	Head      float64 // lines that a message costs besides its own
+	Grace     float64 // ms until a drained host is sent nothing more
+}
+
+// Step of a plan: hosts that may be drained at once, when it may begin (ms after the plan's), and what is earned
+// after it.
+type Step struct {
+	Hosts  []string
+	At     float64
+	Result float64
+	Load   float64 // the fullest host's, of its cap
+}
+
+// full is how much of the result a step may cost and still count as none.
+const full = 1e-6
+
+// Drain orders hosts to be drained one after the other in steps: in each as many as leave all that was earned before,
+// those that cost least first. A step waits until the one before is through the channel and its grace is over. Where
+// no further host can go without a loss the rest follow one by one, dearest last.
+func (p *Problem) Drain(hosts []string, pace Pace) ([]Step, error) {
+	now, err := p.With(Change{})
+	if err != nil {
+		return nil, err
+	}
+	left := slices.Clone(hosts)
+	sort.Strings(left)
+	before, err := now.Solve()
+	if err != nil {
+		return nil, err
+	}
+	result, at := before.Result, 0.0
+	var steps []Step
+	for len(left) > 0 {
+		step := Step{At: at}
+		for len(left) > 0 {
+			name, s, err := now.cheapest(left)
+			if err != nil {
+				return nil, err
+			}
+			if s.Result < result-full && len(step.Hosts) > 0 {
+				break
+			}
+			step.Hosts, step.Result, step.Load = append(step.Hosts, name), s.Result, fullest(s)
+			loss := s.Result < result-full
+			result = math.Min(result, s.Result)
+			left = slices.DeleteFunc(left, func(x string) bool { return x == name })
+			if now, err = now.With(Change{Drain: []string{name}}); err != nil {
+				return nil, err
+			}
+			if loss {
+				break
+			}
+		}
+		steps = append(steps, step)
+		lines := float64(pace.Proxies) * (float64(len(step.Hosts)) + pace.Head)
+		at += pace.Grace
+		if pace.LinesPerS > 0 {
+			at += lines / pace.LinesPerS * 1000
+		}
+	}
+	return steps, nil
+}
+
+// cheapest finds the host whose going costs least, the first by name of those that cost the same.
+func (p *Problem) cheapest(hosts []string) (name string, best *Solution, err error) {
+	for _, h := range hosts {
+		q, err := p.With(Change{Drain: []string{h}})
+		if err != nil {
+			return "", nil, err
+		}
+		s, err := q.Solve()
+		if err != nil {
+			return "", nil, err
+		}
+		if best == nil || s.Result > best.Result+full {
+			name, best = h, s
+		}
+	}
+	return name, best, nil
+}
+
+func fullest(s *Solution) float64 {
+	most := 0.0
+	for _, l := range s.Load {
+		most = math.Max(most, l)
+	}
+	return most
+}
+
+// Binding gives the hosts that work at their caps, by what a core more at each would earn, dearest first.
+func (s *Solution) Binding() []string {
+	var all []string
+	for host, l := range s.Load {
+		if l > 1-1e-6 {
+			all = append(all, host)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := s.Price[all[i]], s.Price[all[j]]
+		return a > b || a == b && all[i] < all[j]
+	})
+	return all
+}
+
+// Tables are weights by class, zone of the proxies and host, with the share let in by class; weights need not sum
+// to 1, and a class without a share lets all in.
+type Tables struct {
+	Weights map[string]map[string]map[string]float64
+	Share   map[string]float64
+}
+
+// Gap is how far tables are from the best there is.
+type Gap struct {
+	Result, Best   float64
+	Earned, Most   float64            // earnings a second
+	Over           map[string]float64 // hosts over their caps: load against the cap
+	Shift          map[string]float64 // by host: work that the best gives it more than the tables, ms a ms
+	ShareTo, Share map[string]float64 // by class: what is served, and what the best serves
+}
+
+// Measure reckons what tables earn by the same model: what comes to a host over its cap is lost there in the same
+// part for all classes.
+func (p *Problem) Measure(t Tables) (*Gap, error) {
+	best, err := p.Solve()
+	if err != nil {
+		return nil, err
+	}
+	g := &Gap{Best: best.Result, Most: best.Earned, Over: map[string]float64{}, Shift: map[string]float64{},
+		ShareTo: map[string]float64{}, Share: best.Share}
+	load, flows := p.flows(t)
+	caps := map[string]float64{}
+	for _, h := range p.Hosts {
+		caps[h.Name] = p.HostCap(h)
+		if load[h.Name] > caps[h.Name]*(1+1e-9) {
+			g.Over[h.Name] = load[h.Name] / math.Max(caps[h.Name], 1e-12)
+		}
+		if d := best.Load[h.Name]*caps[h.Name] - load[h.Name]; math.Abs(d) > 1e-9 {
+			g.Shift[h.Name] = d
+		}
+	}
+	served, crossing, total := map[string]float64{}, 0.0, 0.0
+	for _, f := range flows {
+		part := 1.0
+		if l := load[f.host]; l > caps[f.host] {
+			part = caps[f.host] / l
+		}
+		served[f.class] += f.rate * part
+		if f.cross {
+			crossing += f.rate
+		}
+	}
+	asked, worst := 0.0, 1.0
+	for c, k := range p.Classes {
+		d := (&programme{p: p}).classDemand(c)
+		total, asked = total+d, asked+d*k.Earnings
+		g.Earned += served[k.Name] * k.Earnings
+		if d > 0 {
+			g.ShareTo[k.Name] = served[k.Name] / d
+			worst = math.Min(worst, served[k.Name]/d)
+		}
+	}
+	g.Result = p.Goal.WorstClass * worst
+	if asked > 0 {
+		g.Result += p.Goal.Whole*g.Earned/asked - p.Goal.Cross*crossing/total
+	}
+	return g, nil
+}
+
+// flow of transactions to a host.
+type flow struct {
+	class, host string
+	rate        float64
+	cross       bool
+}
+
+// flows deals the demand out by tables, in order.
+func (p *Problem) flows(t Tables) (load map[string]float64, all []flow) {
+	load = map[string]float64{}
+	for c, k := range p.Classes {
+		in, ok := t.Share[k.Name]
+		if !ok {
+			in = 1
+		}
+		for z, zone := range p.Zones {
+			sum := 0.0
+			for _, w := range t.Weights[k.Name][zone] {
+				sum += w
+			}
+			for _, h := range p.Hosts {
+				w := t.Weights[k.Name][zone][h.Name]
+				if w <= 0 || sum <= 0 {
+					continue
+				}
+				f, ok := h.Factor[k.Name]
+				if !ok {
+					f = 1
+				}
+				rate := p.demand(c, z) * math.Min(in, 1) * w / sum
+				load[h.Name] += rate * k.Work / 1000 * f
+				all = append(all, flow{k.Name, h.Name, rate, h.Zone != zone})
+			}
+		}
+	}
+	return load, all
+}
--- /dev/null
+++ b/solver/problem.go
@@ -0,0 +1,198 @@
+// Package solver finds the weights and the shares let in that earn most under the hosts' capacities, and tells how
+// far a table is from them. It decides no table: the design's mechanism does. It does no I/O.
+//
+// The problem is a linear programme. For class c, proxies of zone z and group g of hosts alike, y[c,z,g] is the
+// part of the demand D[c,z] that goes to g:
+//
+//	maximise   whole x sum(e[c] D[c,z] y[c,z,g]) / sum(e[c] D[c,z])  +  worst x t
+//	           - cross x sum(D[c,z] y[c,z,g], z not the zone of g) / sum(D[c,z])
+//	subject to sum over g of y[c,z,g] <= 1                     each demand is served once
+//	           sum over c, z of w[c,g] D[c,z] y[c,z,g] <= C[g]   each group works within its cap
+//	           t <= sum over z, g of D y / sum over z of D       t is the share of the worst class
+//	           sum over z, g of D y >= least[c] x sum of D       stated least shares
+//
+// with e the earnings, w the work of a transaction at the group, C the group's cap by Cap. The dual value of a
+// group's cap is what a further core there would earn, as long as the same bounds bind.
+package solver
+
+import (
+	"fmt"
+	"math"
+	"sort"
+)
+
+// Class of transactions: earnings of one, its mean work (ms on a core of speed 1), the least share to be let in.
+type Class struct {
+	Name     string
+	Earnings float64
+	Work     float64
+	Least    float64
+	Local    bool // only hosts of the proxy's own zone may take it
+}
+
+// Host with what it can do. Work that it is given takes Work / Speed ms on one of its cores.
+type Host struct {
+	Name     string
+	Zone     string
+	Kind     string
+	Cores    float64
+	Speed    float64
+	Warm     float64            // the part of its capacity that it has now, 0 to 1
+	Draining bool               // takes nothing new
+	Most     float64            // of its capacity that may be used, 0 to 1; 0: all that the cap leaves
+	Factor   map[string]float64 // by class: its work here against that at other hosts of the speed; absent: 1
+}
+
+// Prices and weights of the goal, as parts of the result.
+type Goal struct {
+	Whole, WorstClass float64
+	Cross             float64 // of each transaction that crosses zones once
+}
+
+// Problem is a fleet with its demand, in transactions a second by class and zone of the proxies.
+type Problem struct {
+	Classes []Class
+	Zones   []string
+	Hosts   []Host
+	Demand  map[string]map[string]float64
+	Goal    Goal
+	// Deadline d of the cap in ms, as a multiple of the mean time a transaction takes; 0: no margin below capacity.
+	// The module starts at 3.2 (docs/design.md).
+	Deadline float64
+}
+
+// epsilon is the part of the transactions that may miss the deadline, as in package decide.
+const epsilon = 0.05
+
+// Cap is the load, in transactions a second, up to which a server of rate mu meets the deadline d (ms) for all but
+// a part epsilon of them: mu - K, K = |ln epsilon / d|, and half of mu at least ("Deadline Guaranteed Service for
+// Multi-Tenant Cloud Storage", section 3, with the floor of the project's design).
+func Cap(mu, d float64) float64 {
+	if d <= 0 {
+		return mu
+	}
+	return math.Max(mu-math.Abs(math.Log(epsilon))/d*1000, mu/2)
+}
+
+// group is hosts alike: of one zone, with the same factors. Their capacity counts as one, and what they are given
+// is shared by capacity, so none is over its cap unless the group is.
+type group struct {
+	zone   int
+	factor []float64 // by class
+	cap    float64   // work ms a ms
+	hosts  []int
+	caps   []float64
+}
+
+// Fault names what is wrong with a problem.
+type Fault struct{ Field, Reason string }
+
+func (f *Fault) Error() string { return f.Field + ": " + f.Reason }
+
+func (p *Problem) check() error {
+	if len(p.Classes) == 0 || len(p.Zones) == 0 {
+		return &Fault{"classes, zones", "at least one of each is needed"}
+	}
+	zones, classes := map[string]bool{}, map[string]bool{}
+	for _, z := range p.Zones {
+		zones[z] = true
+	}
+	for i, c := range p.Classes {
+		if classes[c.Name] || c.Name == "" {
+			return &Fault{fmt.Sprintf("classes[%d].name", i), "it is empty or stands there twice"}
+		}
+		classes[c.Name] = true
+		if !(c.Work > 0) || math.IsInf(c.Work, 0) || !(c.Earnings >= 0) || math.IsInf(c.Earnings, 0) || !(c.Least >= 0 && c.Least <= 1) {
+			return &Fault{"classes[" + c.Name + "]", "work above 0, earnings from 0 and a least share from 0 to 1 are needed"}
+		}
+	}
+	for i, h := range p.Hosts {
+		if !zones[h.Zone] {
+			return &Fault{fmt.Sprintf("hosts[%d].zone", i), fmt.Sprintf("%q is not among the zones", h.Zone)}
+		}
+		for _, x := range []float64{h.Cores, h.Speed, h.Warm, h.Most} {
+			if !(x >= 0) || math.IsInf(x, 0) {
+				return &Fault{fmt.Sprintf("hosts[%d]", i), h.Name + " has a figure below 0, or none"}
+			}
+		}
+		for class, f := range h.Factor {
+			if !classes[class] || !(f > 0) || math.IsInf(f, 0) {
+				return &Fault{fmt.Sprintf("hosts[%d].factor", i), fmt.Sprintf("class %q with factor %g", class, f)}
+			}
+		}
+	}
+	for class, by := range p.Demand {
+		for zone, d := range by {
+			if !classes[class] || !zones[zone] || !(d >= 0) || math.IsInf(d, 0) {
+				return &Fault{"demand", fmt.Sprintf("%g of class %q in zone %q", d, class, zone)}
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Problem) demand(c, z int) float64 { return p.Demand[p.Classes[c].Name][p.Zones[z]] }
+
+// meanWork of a transaction, by demand.
+func (p *Problem) meanWork() float64 {
+	work, n := 0.0, 0.0
+	for c, k := range p.Classes {
+		for z := range p.Zones {
+			work, n = work+p.demand(c, z)*k.Work, n+p.demand(c, z)
+		}
+	}
+	if n == 0 {
+		return p.Classes[0].Work
+	}
+	return work / n
+}
+
+// HostCap is the work, in ms a ms, that a host may be given: its cap mu - K in transactions of mean work, by what of
+// its capacity it has now, within its stated bound.
+func (p *Problem) HostCap(h Host) float64 {
+	if h.Draining || h.Cores <= 0 || h.Speed <= 0 || h.Warm <= 0 {
+		return 0
+	}
+	mean := p.meanWork()
+	full := h.Cores * h.Speed * math.Min(h.Warm, 1)
+	mu := full / mean * 1000
+	load := Cap(mu, p.Deadline*mean/h.Speed) / 1000 * mean
+	if h.Most > 0 {
+		load = math.Min(load, h.Most*full)
+	}
+	return load
+}
+
+// groups puts hosts alike together, in an order that depends on nothing but the hosts.
+func (p *Problem) groups() []group {
+	by, zone := map[string]int{}, map[string]int{}
+	for i, z := range p.Zones {
+		zone[z] = i
+	}
+	var all []group
+	for i, h := range p.Hosts {
+		load := p.HostCap(h)
+		if load <= 0 {
+			continue
+		}
+		g := group{zone: zone[h.Zone], factor: make([]float64, len(p.Classes))}
+		key := h.Zone
+		for c, k := range p.Classes {
+			g.factor[c] = 1
+			if f, ok := h.Factor[k.Name]; ok {
+				g.factor[c] = f
+			}
+			key += fmt.Sprintf("/%g", g.factor[c])
+		}
+		at, ok := by[key]
+		if !ok {
+			at = len(all)
+			by[key] = at
+			all = append(all, g)
+		}
+		all[at].cap += load
+		all[at].hosts, all[at].caps = append(all[at].hosts, i), append(all[at].caps, load)
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].zone < all[j].zone })
+	return all
+}
--- /dev/null
+++ b/solver/solve.go
@@ -0,0 +1,369 @@
+package solver
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"sort"
+
+	"gonum.org/v1/gonum/mat"
+	"gonum.org/v1/gonum/optimize/convex/lp"
+)
+
+// Solution of a problem.
+type Solution struct {
+	Result   float64 // of the goal, with prices taken off; at most Whole + WorstClass
+	Earned   float64 // earnings a second
+	Asked    float64
+	Share    map[string]float64                       // let in, by class
+	ZoneIn   map[string]map[string]float64            // let in, by class and zone of the proxies
+	Weights  map[string]map[string]map[string]float64 // by class, zone of the proxies and host; they sum to 1
+	Load     map[string]float64                       // of each host's cap that is used
+	Price    map[string]float64                       // of each host's cap: earnings a second that one more core like its own would bring
+	Crossing float64                                  // transactions a second that cross zones
+	Unmet    []string                                 // least shares that the caps do not leave room for, with what they get
+}
+
+// penalty of a least share that is not met, against a result of about 1: large enough to be paid only where there is
+// no other way.
+const penalty = 1000.0
+
+// tolerance of the simplex method; the programme is scaled so that its right sides are 1.
+const tolerance = 1e-10
+
+// column is a variable: the part of a demand that goes to a group.
+type column struct{ c, z, g int }
+
+// programme is the linear programme in equality form, with a slack for each row.
+type programme struct {
+	p       *Problem
+	groups  []group
+	columns []column
+	rows    [][]float64 // by row, over columns and t
+	right   []float64
+	gain    []float64 // of each column and t
+	caps    []int     // row of each group's cap
+	least   []int     // class of each row of a least share, after all others
+	first   int       // of them
+	asked   float64
+	total   float64 // transactions a second
+}
+
+// Solve finds what earns most. Of several that earn the same it always gives the same one, with near hosts before
+// far ones and hosts alike in proportion to their caps.
+func (p *Problem) Solve() (*Solution, error) {
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	m := p.programme()
+	y, dual, err := m.run()
+	if err != nil {
+		return nil, err
+	}
+	return m.read(y, dual), nil
+}
+
+func (p *Problem) programme() *programme {
+	m := &programme{p: p, groups: p.groups()}
+	for c, k := range p.Classes {
+		for z := range p.Zones {
+			m.asked, m.total = m.asked+k.Earnings*p.demand(c, z), m.total+p.demand(c, z)
+		}
+	}
+	for c, k := range p.Classes {
+		for z := range p.Zones {
+			for g := range m.groups {
+				if p.demand(c, z) > 0 && (!k.Local || m.groups[g].zone == z) {
+					m.columns = append(m.columns, column{c, z, g})
+				}
+			}
+		}
+	}
+	m.gains()
+	n := len(m.columns) + 1
+	demand := map[[2]int]int{}
+	for i, x := range m.columns {
+		key := [2]int{x.c, x.z}
+		r, ok := demand[key]
+		if !ok {
+			r = m.row(n, 1)
+			demand[key] = r
+		}
+		m.rows[r][i] = 1
+	}
+	for g := range m.groups {
+		r := m.row(n, 1)
+		m.caps = append(m.caps, r)
+		for i, x := range m.columns {
+			if x.g == g {
+				m.rows[r][i] = p.Classes[x.c].Work / 1000 * m.groups[g].factor[x.c] * p.demand(x.c, x.z) / m.groups[g].cap
+			}
+		}
+	}
+	m.worst(n)
+	m.first = len(m.rows)
+	for c, k := range p.Classes {
+		if k.Least > 0 && m.classDemand(c) > 0 {
+			r := m.row(n, k.Least)
+			m.least = append(m.least, c)
+			for i, x := range m.columns {
+				if x.c == c {
+					m.rows[r][i] = p.demand(x.c, x.z) / m.classDemand(c)
+				}
+			}
+		}
+	}
+	return m
+}
+
+func (m *programme) row(n int, right float64) int {
+	m.rows, m.right = append(m.rows, make([]float64, n)), append(m.right, right)
+	return len(m.rows) - 1
+}
+
+func (m *programme) classDemand(c int) (d float64) {
+	for z := range m.p.Zones {
+		d += m.p.demand(c, z)
+	}
+	return d
+}
+
+// nearer is the part of its gain by which a near group is preferred, so that equal answers are one.
+const nearer = 1e-7
+
+func (m *programme) gains() {
+	goal := m.p.Goal
+	for _, x := range m.columns {
+		d, gain := m.p.demand(x.c, x.z), 0.0
+		if m.asked > 0 {
+			gain = goal.Whole * m.p.Classes[x.c].Earnings * d / m.asked
+		}
+		if m.groups[x.g].zone != x.z {
+			gain -= goal.Cross*d/m.total + nearer*math.Abs(gain)
+		}
+		m.gain = append(m.gain, gain)
+	}
+	m.gain = append(m.gain, goal.WorstClass)
+}
+
+// worst bounds t by the share of each class.
+func (m *programme) worst(n int) {
+	if m.p.Goal.WorstClass == 0 {
+		m.rows[m.row(n, 1)][n-1] = 1 // t has no worth, but the method wants it bounded
+		return
+	}
+	for c := range m.p.Classes {
+		d := m.classDemand(c)
+		if d == 0 {
+			continue
+		}
+		r := m.row(n, 0)
+		m.rows[r][n-1] = 1
+		for i, x := range m.columns {
+			if x.c == c {
+				m.rows[r][i] = -m.p.demand(x.c, x.z) / d
+			}
+		}
+	}
+	m.rows[m.row(n, 1)][n-1] = 1
+}
+
+// run solves the programme by gonum's simplex method, and its dual for the prices of the caps. Slacks are a basis to
+// begin with; a row of a least share begins with the variable that pays for not meeting it.
+func (m *programme) run() (y, dual []float64, err error) {
+	n, r := len(m.columns)+1, len(m.rows)
+	least := r - m.first
+	a := mat.NewDense(r, n+r+least, nil)
+	cost, basis := make([]float64, n+r+least), make([]int, r)
+	for i, row := range m.rows {
+		for j, x := range row {
+			a.Set(i, j, x)
+		}
+		if i < m.first {
+			a.Set(i, n+i, 1)
+			basis[i] = n + i
+		} else {
+			unmet := n + r + i - m.first
+			a.Set(i, n+i, -1) // what is over the least
+			a.Set(i, unmet, 1)
+			cost[unmet], basis[i] = penalty, unmet
+		}
+	}
+	for j, g := range m.gain {
+		cost[j] = -g
+	}
+	_, x, err := lp.Simplex(cost, a, m.right, tolerance, basis)
+	if err != nil {
+		return nil, nil, fmt.Errorf("solving for the weights: %w", err)
+	}
+	dual, err = m.dual(x, n, a, cost)
+	return x[:n+r+least], dual, err
+}
+
+// dual gives the price of each row: the prices solve B'u = c for the basis B of the answer, since reduced costs of
+// basic variables are 0. Where fewer variables are above 0 than there are rows (a degenerate answer) the least
+// prices that fit are taken.
+func (m *programme) dual(x []float64, n int, a *mat.Dense, cost []float64) ([]float64, error) {
+	r := len(m.rows)
+	var basic []int
+	for j, v := range x {
+		if v > 1e-9 {
+			basic = append(basic, j)
+		}
+	}
+	b := mat.NewDense(len(basic), r, nil)
+	c := mat.NewVecDense(len(basic), nil)
+	for k, j := range basic {
+		for i := range r {
+			b.Set(k, i, a.At(i, j))
+		}
+		c.SetVec(k, -cost[j])
+	}
+	var svd mat.SVD
+	if len(basic) == 0 || !svd.Factorize(b, mat.SVDThin) {
+		return make([]float64, r), nil
+	}
+	var u mat.VecDense
+	rank := 0
+	for _, s := range svd.Values(nil) {
+		if s > 1e-9*svd.Values(nil)[0] {
+			rank++
+		}
+	}
+	svd.SolveVecTo(&u, c, rank)
+	prices := make([]float64, r)
+	for i := range prices {
+		prices[i] = math.Max(u.AtVec(i), 0)
+	}
+	return prices, nil
+}
+
+// read makes the programme's answer a solution.
+func (m *programme) read(y, dual []float64) *Solution {
+	p := m.p
+	s := &Solution{Asked: m.asked, Share: map[string]float64{}, ZoneIn: map[string]map[string]float64{},
+		Weights: map[string]map[string]map[string]float64{}, Load: map[string]float64{}, Price: map[string]float64{}}
+	served := make([][]float64, len(p.Classes))
+	for c, k := range p.Classes {
+		served[c] = make([]float64, len(p.Zones))
+		s.Weights[k.Name], s.ZoneIn[k.Name] = map[string]map[string]float64{}, map[string]float64{}
+		s.Share[k.Name] = 1
+	}
+	used, cross := make([]float64, len(m.groups)), 0.0
+	for i, x := range m.columns {
+		part := math.Max(y[i], 0)
+		served[x.c][x.z] += part
+		d := part * p.demand(x.c, x.z)
+		used[x.g] += d * p.Classes[x.c].Work / 1000 * m.groups[x.g].factor[x.c]
+		s.Earned += d * p.Classes[x.c].Earnings
+		if m.groups[x.g].zone != x.z {
+			cross += d
+		}
+	}
+	for i, x := range m.columns {
+		if part := y[i] / math.Max(served[x.c][x.z], 1e-300); y[i] > 1e-12 {
+			m.spread(s, x, part)
+		}
+	}
+	for c, k := range p.Classes {
+		in, d := 0.0, m.classDemand(c)
+		for z, zone := range p.Zones {
+			if x := p.demand(c, z); x > 0 {
+				s.ZoneIn[k.Name][zone] = math.Min(served[c][z], 1)
+				in += served[c][z] * x
+			}
+		}
+		if d > 0 {
+			s.Share[k.Name] = math.Min(in/d, 1)
+		}
+	}
+	for g, grp := range m.groups {
+		for i, h := range grp.hosts {
+			s.Load[p.Hosts[h].Name] = used[g] / grp.cap
+			if p.Goal.Whole > 0 {
+				s.Price[p.Hosts[h].Name] = dual[m.caps[g]] / grp.cap * m.asked / p.Goal.Whole * grp.caps[i] /
+					p.Hosts[h].Cores
+			}
+		}
+	}
+	s.Crossing = cross
+	s.Result = s.goal(p, m.total)
+	for _, c := range m.least {
+		if k := p.Classes[c]; s.Share[k.Name] < k.Least-1e-6 {
+			s.Unmet = append(s.Unmet, fmt.Sprintf("class %s: a least share of %.3f is asked for, %.3f is the most there is room for", k.Name,
+				k.Least, s.Share[k.Name]))
+		}
+	}
+	return s
+}
+
+// goal is the result by the goal's weights and prices.
+func (s *Solution) goal(p *Problem, total float64) float64 {
+	worst := 1.0
+	for c, k := range p.Classes {
+		if (&programme{p: p}).classDemand(c) > 0 {
+			worst = math.Min(worst, s.Share[k.Name])
+		}
+	}
+	result := p.Goal.WorstClass * worst
+	if s.Asked > 0 {
+		result += p.Goal.Whole * s.Earned / s.Asked
+	}
+	if total > 0 {
+		result -= p.Goal.Cross * s.Crossing / total
+	}
+	return result
+}
+
+// spread gives a part of a demand to the hosts of a group by their caps.
+func (m *programme) spread(s *Solution, x column, part float64) {
+	class, zone := m.p.Classes[x.c].Name, m.p.Zones[x.z]
+	w := s.Weights[class][zone]
+	if w == nil {
+		w = map[string]float64{}
+		s.Weights[class][zone] = w
+	}
+	g := m.groups[x.g]
+	for i, h := range g.hosts {
+		w[m.p.Hosts[h].Name] += part * g.caps[i] / g.cap
+	}
+}
+
+// ErrBroken tells that an answer does not keep the problem's bounds.
+var ErrBroken = errors.New("the answer breaks a bound")
+
+// Verify reckons a solution's bounds anew, from its weights and shares alone.
+func (p *Problem) Verify(s *Solution) error {
+	load, caps, names := map[string]float64{}, map[string]float64{}, []string{}
+	factor := map[string]map[string]float64{}
+	for _, h := range p.Hosts {
+		caps[h.Name], factor[h.Name] = p.HostCap(h), h.Factor
+		names = append(names, h.Name)
+	}
+	for c, k := range p.Classes {
+		for z, zone := range p.Zones {
+			sum, d := 0.0, p.demand(c, z)*s.ZoneIn[k.Name][zone]
+			for host, w := range s.Weights[k.Name][zone] {
+				if w < 0 || math.IsNaN(w) {
+					return fmt.Errorf("%w: %s has the weight %g", ErrBroken, host, w)
+				}
+				f, ok := factor[host][k.Name]
+				if !ok {
+					f = 1
+				}
+				sum += w
+				load[host] += w * d * k.Work / 1000 * f
+			}
+			if d > 1e-9 && math.Abs(sum-1) > 1e-6 {
+				return fmt.Errorf("%w: the weights of %s in %s sum to %g", ErrBroken, k.Name, zone, sum)
+			}
+		}
+	}
+	sort.Strings(names)
+	for _, h := range names {
+		if load[h] > caps[h]*(1+1e-6)+1e-12 {
+			return fmt.Errorf("%w: %s gets %g of %g", ErrBroken, h, load[h], caps[h])
+		}
+	}
+	return nil
+}
