Measure the gap to the best tables in rehearsals; compare a slow second's fastest try like with like

Need: how far tables are from what they could earn; and replays took slow seconds as slower than they were, since the fastest of a few tries is slower than that of many. Change: rehearsals solve for the best tables each second from the hosts' true state; the model expects the fastest of n tries at one part in n+1 of the host's times.

--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -47,6 +47,8 @@
 	journal    *rules.Journal
 	service    *service
 
+	gaps gaps
+
 	mu         sync.Mutex
 	hosts      []*member
 	forwarders []*standin.Forwarder
@@ -317,6 +319,7 @@
 		select {
 		case <-tick.C:
 			d.progress()
+			d.sampleGap(time.Since(d.start).Seconds())
 		case <-end:
 			over = true
 		case <-ctx.Done():
@@ -356,6 +359,7 @@
 	}
 	d.service.print(d.out)
 	fmt.Fprintln(d.out)
+	d.gaps.print(d.out)
 	for _, v := range r.Verdicts {
 		word := "kept"
 		if !v.Kept {
--- /dev/null
+++ b/internal/rehearse/gap.go
@@ -0,0 +1,121 @@
+package rehearse
+
+import (
+	"fmt"
+	"io"
+
+	"barleysail/solver"
+)
+
+// gaps follows how far the forwarders' tables are from the best there is, sampled as the day goes on. The best knows
+// each host's true state, as no steward does, so a trouble shows as a gap until it is found out.
+type gaps struct {
+	n           int
+	sum, worst  float64
+	worstAt     float64
+	worstClass  string
+	unmeasured  error
+	samplesOver int
+}
+
+// sampleGap measures the tables as they stand.
+func (d *day) sampleGap(passed float64) {
+	p, tables := d.problem(), d.tables()
+	g, err := p.Measure(tables)
+	if err != nil {
+		d.gaps.unmeasured = err
+		return
+	}
+	gap := g.Best - g.Result
+	d.gaps.n++
+	d.gaps.sum += gap
+	if len(g.Over) > 0 {
+		d.gaps.samplesOver++
+	}
+	if gap > d.gaps.worst {
+		d.gaps.worst, d.gaps.worstAt = gap, passed
+		for class, best := range g.Share {
+			if lost := best - g.ShareTo[class]; d.gaps.worstClass == "" || lost > g.Share[d.gaps.worstClass]-g.ShareTo[d.gaps.worstClass] {
+				d.gaps.worstClass = class
+			}
+		}
+	}
+}
+
+// problem is the fleet as it truly is now: what hangs or is down has no capacity, what is slow or cold a part.
+func (d *day) problem() *solver.Problem {
+	c := d.config
+	p := &solver.Problem{Zones: c.Zones, Demand: map[string]map[string]float64{}, Goal: solver.Goal{Whole: *c.Goal.Whole,
+		WorstClass: *c.Goal.WorstClass}}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range d.hosts {
+		cores, speed := h.Able()
+		p.Hosts = append(p.Hosts, solver.Host{Name: h.Address, Zone: h.zone, Cores: cores, Speed: speed, Warm: 1,
+			Draining: h.draining || !h.listed})
+	}
+	forwarders, total := map[string]float64{}, 0.0
+	for _, g := range d.script.Forwarders {
+		forwarders[g.Zone] += float64(g.Count)
+		total += float64(g.Count)
+	}
+	for _, k := range c.Classes {
+		for _, t := range d.script.Traffic {
+			if t.Class != k.Name {
+				continue
+			}
+			p.Classes = append(p.Classes, solver.Class{Name: k.Name, Earnings: *k.Earnings, Work: t.WorkMs, Local: k.Local})
+			p.Demand[k.Name] = map[string]float64{}
+			for zone, n := range forwarders {
+				p.Demand[k.Name][zone] = t.Rate * n / total
+			}
+		}
+	}
+	return p
+}
+
+// tables are the forwarders' own, put together by zone: each forwarder gets the same traffic, so its weights count
+// as parts of its table.
+func (d *day) tables() solver.Tables {
+	t := solver.Tables{Weights: map[string]map[string]map[string]float64{}, Share: map[string]float64{}}
+	count := map[string]float64{}
+	for _, f := range d.forwarders {
+		for class, table := range f.Client.Tables() {
+			sum := 0.0
+			for _, h := range table.Hosts {
+				sum += h.Weight
+			}
+			if t.Weights[class] == nil {
+				t.Weights[class] = map[string]map[string]float64{}
+			}
+			w := t.Weights[class][f.Zone()]
+			if w == nil {
+				w = map[string]float64{}
+				t.Weights[class][f.Zone()] = w
+			}
+			for _, h := range table.Hosts {
+				w[h.Address] += h.Weight / sum
+			}
+			t.Share[class] += min(table.Share, 1)
+			count[class]++
+		}
+	}
+	for class, n := range count {
+		t.Share[class] /= n
+	}
+	return t
+}
+
+func (g *gaps) print(out io.Writer) {
+	switch {
+	case g.unmeasured != nil:
+		fmt.Fprintf(out, "gap to the best tables: not measured: %v\n", g.unmeasured)
+	case g.n > 0:
+		fmt.Fprintf(out, "gap to the best tables for the hosts' true state: mean %.4f; worst %.4f at %.0f s", g.sum/float64(g.n), g.worst,
+			g.worstAt)
+		if g.worstClass != "" {
+			fmt.Fprintf(out, ", most of it in %s", g.worstClass)
+		}
+		fmt.Fprintf(out, "; hosts sent more than they can do in %d of %d samples\n", g.samplesOver, g.n)
+	}
+}
--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -77,6 +77,9 @@
 	return f, err
 }
 
+// Zone is where it stands.
+func (f *Forwarder) Zone() string { return f.set.Zone }
+
 // Cut breaks the streams to stewards, and keeps them broken for a time.
 func (f *Forwarder) Cut(d time.Duration) {
 	f.mu.Lock()
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -130,6 +130,16 @@
 // Fallen tells whether the host was pushed over while it was cold.
 func (h *Host) Fallen() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.fallen }
 
+// Able is what the host can truly do now: its cores, none while it hangs or is down, and the speed of each.
+func (h *Host) Able() (cores, speed float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.server == nil || h.hangs || h.fallen {
+		return 0, 0
+	}
+	return float64(h.set.Cores), h.set.Speed * h.part(Now()) / h.slow
+}
+
 // part is what of its capacity the host has now.
 func (h *Host) part(now float64) float64 {
 	if h.started == 0 || now >= h.started+h.set.Cold {
--- a/replay/response/model.go
+++ b/replay/response/model.go
@@ -46,11 +46,14 @@
 // Host is what the fit found of one.
 type Host struct {
 	Speed   float64 // times a class's usual time that an unhurried try takes here
-	Fastest float64 // the same of the fastest try of a usual window
 	Cores   int
-	Learned bool // from its own tries
+	least   [leastMost]float64 // the same of the fastest of so many tries, as it is to be expected
+	Learned bool               // from its own tries
 }
 
+// leastMost tries in a window are told apart: the fastest of many is faster than that of a few.
+const leastMost = 32
+
 // Model is fitted by Saw, Probed and Loaded in any order, then Fit, then asked.
 type Model struct {
 	cells   map[string][]cell
@@ -58,12 +61,13 @@
 	samples map[string]*sample // usual times by class
 	usual   map[string]float64
 	hosts   map[string]Host
+	ratios  map[string]*sample // of good tries' times to their class's usual, by host
 }
 
 // New makes a model of a day that begins at a time.
 func New(start float64) *Model {
 	return &Model{cells: map[string][]cell{}, start: start, samples: map[string]*sample{}, usual: map[string]float64{},
-		hosts: map[string]Host{}}
+		hosts: map[string]Host{}, ratios: map[string]*sample{}}
 }
 
 // Begin sets the time at which the day begins, before anything is seen.
@@ -123,6 +127,17 @@
 	s.add(took)
 }
 
+// least gives, for each number of tries, what the fastest of them is to be expected to take: the figure under which
+// one part in as many and one more lies.
+func (s *sample) least() (all [leastMost]float64) {
+	sorted := append([]float64(nil), s.all...)
+	sort.Float64s(sorted)
+	for n := range all {
+		all[n] = math.Max(sorted[len(sorted)/(n+2)], 0.01)
+	}
+	return all
+}
+
 // usualPart of the good tries of a class lie under its usual time: most of those were not held up by others.
 const usualPart = 0.35
 
@@ -148,6 +163,10 @@
 		usual := m.usualTime(class)
 		c.work, c.took = c.work+usual, c.took+took
 		ratio := took / usual
+		if m.ratios[host] == nil {
+			m.ratios[host] = &sample{}
+		}
+		m.ratios[host].add(ratio)
 		if c.ratios += ratio; c.fastest == 0 || ratio < c.fastest {
 			c.fastest = ratio
 		}
@@ -183,23 +202,23 @@
 // reported as busy, in windows where some were free; without reports as many as its busiest window needs.
 func (m *Model) Fit() {
 	for host, row := range m.cells {
-		var ratios, fastest []float64
+		var ratios []float64
 		inHand, busy, most := 0.0, 0.0, 0.0
 		for _, c := range row {
 			if c.good == 0 {
 				continue
 			}
-			ratios, fastest = append(ratios, c.ratios/float64(c.good)), append(fastest, c.fastest)
+			ratios = append(ratios, c.ratios/float64(c.good))
 			most = math.Max(most, c.work/window)
 			if c.util > 0.02 && c.util < 0.8 {
 				inHand, busy = inHand+c.took/window, busy+c.util
 			}
 		}
-		h := Host{Speed: 1, Fastest: 1, Cores: 1, Learned: len(ratios) > 0}
+		h := Host{Speed: 1, Cores: 1, Learned: len(ratios) > 0}
 		if h.Learned {
 			sort.Float64s(ratios)
-			sort.Float64s(fastest)
-			h.Speed, h.Fastest = math.Max(ratios[len(ratios)/4], 0.05), math.Max(fastest[len(fastest)/2], 0.01)
+			h.Speed = math.Max(ratios[len(ratios)/4], 0.05)
+			h.least = m.ratios[host].least()
 			cores := most * h.Speed
 			if busy > 0 {
 				cores = inHand / busy
@@ -214,7 +233,7 @@
 func (m *Model) Host(host string) Host {
 	h, ok := m.hosts[host]
 	if !ok {
-		return Host{Speed: 1, Fastest: 1, Cores: 1}
+		return Host{Speed: 1, Cores: 1}
 	}
 	return h
 }
@@ -256,8 +275,11 @@
 // slow is how many times longer than usual for the host a try took, without its waiting: even the fastest took so
 // long, and no more were done than cores so slow can do. Less than a half more is taken for chance.
 func (c *cell) slow(h Host) float64 {
-	x := c.fastest / h.Fastest
-	if c.good < 2 || x < 1.5 {
+	if c.good < 2 {
+		return 1
+	}
+	x := c.fastest / h.least[min(c.good, leastMost-1)]
+	if x < 1.5 {
 		return 1
 	}
 	return math.Max(1, math.Min(x, float64(h.Cores)*window/(c.work*h.Speed)))
