Solve against doubted capacities: spread load so that the worst hosts lose little

Need: stated capacities are wrong in life. Result: with no spread the answers are the same; with it load is split between zones where one host may have half, at the price of crossing.

--- a/cmd/barleysail/solve.go
+++ b/cmd/barleysail/solve.go
@@ -16,12 +16,18 @@
 
 func solveCommand() *cobra.Command {
 	var asJSON bool
+	var doubt solver.Doubt
 	c := &cobra.Command{Use: "solve FLEET", Short: "The weights and shares that earn most on a fleet", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			p, _, err := config.LoadFleet(args[0])
 			if err != nil {
 				return err
 			}
+			sure, err := p.Solve()
+			if err != nil {
+				return err
+			}
+			p.Doubt = doubt
 			s, err := p.Solve()
 			if err != nil {
 				return err
@@ -35,8 +41,14 @@
 				return e.Encode(s)
 			}
 			printSolution(c.OutOrStdout(), p, s)
+			if doubt.Spread > 0 {
+				fmt.Fprintf(c.OutOrStdout(), "\nagainst %d hosts with %.0f%% less than stated: costs %.4f of the result, and leaves %.2f a second at risk\n",
+					doubt.Worst, 100*doubt.Spread, sure.Result-s.Result, s.AtRisk)
+			}
 			return nil
 		}}
+	c.Flags().Float64Var(&doubt.Spread, "spread", 0, "hosts may have so much less than their stated capacity, as a part of it")
+	c.Flags().IntVar(&doubt.Worst, "worst", 1, "so many of them at once")
 	c.Flags().BoolVar(&asJSON, "json", false, "as JSON, with the weights")
 	return c
 }
--- a/solver/plan_test.go
+++ b/solver/plan_test.go
@@ -85,3 +85,41 @@
 		}
 	}
 }
+
+// Where capacities are doubted load is spread so that the worst hosts lose little, at the price of crossing; a spread
+// of nothing changes nothing.
+func TestDoubt(t *testing.T) {
+	p := fleet(Host{Zone: "a", Cores: 4}, Host{Zone: "b", Cores: 4})
+	p.Demand = map[string]map[string]float64{"sheet": {"a": 20}} // four cores' work, all in zone a
+	p.Goal.Cross = 0.01
+	plain := solve(t, p)
+	if !near(plain.Load["h0"], 1, 1e-6) || plain.AtRisk != 0 {
+		t.Errorf("without doubt: %+v", plain)
+	}
+	p.Doubt = Doubt{Spread: 0.5, Worst: 1}
+	if s := solve(t, p); !near(s.Load["h0"], 0.5, 1e-6) || !near(s.Load["h1"], 0.5, 1e-6) || !near(s.AtRisk, 0, 1e-6) || !near(s.Earned, plain.Earned, 1e-6) {
+		t.Errorf("one host may have half: %+v", s)
+	}
+	p.Goal.Cross = 2 // dearer than the loss: what is earned for sure is what the host's least can do
+	if s := solve(t, p); s.Crossing > 1e-9 || !near(s.Earned-s.AtRisk, 2/0.2*3, 1e-6) {
+		t.Errorf("crossing dearer than the loss: %+v", s)
+	}
+	random := rand.New(rand.NewPCG(9, 9))
+	for n := range 100 {
+		p := drawn(random, 2+random.IntN(12), 3, 2)
+		sure := solve(t, p)
+		p.Doubt = Doubt{Spread: 0.3, Worst: 1 + random.IntN(3)}
+		s := solve(t, p)
+		if s.Result > sure.Result+1e-6 || s.AtRisk < -1e-9 {
+			t.Errorf("fleet %d: %.6f with doubt, %.6f without, %.3f at risk", n, s.Result, sure.Result, s.AtRisk)
+		}
+		p.Doubt = Doubt{Worst: 3}
+		if again := solve(t, p); !near(again.Result, sure.Result, 1e-9) {
+			t.Errorf("fleet %d: a spread of nothing changes %.9f to %.9f", n, sure.Result, again.Result)
+		}
+	}
+	p.Doubt = Doubt{Spread: 2}
+	if _, err := p.Solve(); err == nil || !strings.HasPrefix(err.Error(), "doubt") {
+		t.Error(err)
+	}
+}
--- a/solver/problem.go
+++ b/solver/problem.go
@@ -10,6 +10,8 @@
 //	           sum over c, z of w[c,g] D[c,z] y[c,z,g] <= C[g]   each group works within its cap
 //	           t <= sum over z, g of D y / sum over z of D       t is the share of the worst class
 //	           sum over z, g of D y >= least[c] x sum of D       stated least shares
+//	with doubt: less the loss L of Gamma hosts at their least, L = Gamma theta + sum n[g] pi[g], with
+//	           load of a host of g - theta - pi[g] <= its least capacity
 //
 // with e the earnings, w the work of a transaction at the group, C the group's cap by Cap. The dual value of a
 // group's cap is what a further core there would earn, as long as the same bounds bind.
@@ -59,6 +61,15 @@
 	// Deadline d of the cap in ms, as a multiple of the mean time a transaction takes; 0: no margin below capacity.
 	// The module starts at 3.2 (docs/design.md).
 	Deadline float64
+	Doubt    Doubt
+}
+
+// Doubt says how wrong the stated capacities may be: each host's lies between (1 - Spread) of it and all of it, and
+// at most Worst hosts are at their least at once. What those cannot do of their load is lost, at the mean earnings
+// of work (after Bertsimas and Sim, "The Price of Robustness", 2004, with the loss in the objective).
+type Doubt struct {
+	Spread float64
+	Worst  int
 }
 
 // epsilon is the part of the transactions that may miss the deadline, as in package decide.
@@ -121,6 +132,9 @@
 			}
 		}
 	}
+	if !(p.Doubt.Spread >= 0 && p.Doubt.Spread <= 1) || p.Doubt.Worst < 0 {
+		return &Fault{"doubt", "a spread from 0 to 1 and a number of hosts are needed"}
+	}
 	for class, by := range p.Demand {
 		for zone, d := range by {
 			if !classes[class] || !zones[zone] || !(d >= 0) || math.IsInf(d, 0) {
--- a/solver/solve.go
+++ b/solver/solve.go
@@ -21,6 +21,7 @@
 	Load     map[string]float64                       // of each host's cap that is used
 	Price    map[string]float64                       // of each host's cap: earnings a second that one more core like its own would bring
 	Crossing float64                                  // transactions a second that cross zones
+	AtRisk   float64                                  // with doubt: earnings a second lost when the worst comes
 	Unmet    []string                                 // least shares that the caps do not leave room for, with what they get
 }
 
@@ -47,6 +48,8 @@
 	first   int       // of them
 	asked   float64
 	total   float64 // transactions a second
+	t       int     // index of the worst class's share
+	unit    float64 // with doubt: earnings a second of a mean host's cap
 }
 
 // Solve finds what earns most. Of several that earn the same it always gives the same one, with near hosts before
@@ -80,7 +83,11 @@
 		}
 	}
 	m.gains()
-	n := len(m.columns) + 1
+	m.t = len(m.columns)
+	n := m.t + 1
+	if p.doubted() {
+		n += 1 + len(m.groups)
+	}
 	demand := map[[2]int]int{}
 	for i, x := range m.columns {
 		key := [2]int{x.c, x.z}
@@ -101,6 +108,9 @@
 		}
 	}
 	m.worst(n)
+	if p.doubted() {
+		m.doubt(n)
+	}
 	m.first = len(m.rows)
 	for c, k := range p.Classes {
 		if k.Least > 0 && m.classDemand(c) > 0 {
@@ -149,7 +159,7 @@
 // worst bounds t by the share of each class.
 func (m *programme) worst(n int) {
 	if m.p.Goal.WorstClass == 0 {
-		m.rows[m.row(n, 1)][n-1] = 1 // t has no worth, but the method wants it bounded
+		m.rows[m.row(n, 1)][m.t] = 1 // t has no worth, but the method wants it bounded
 		return
 	}
 	for c := range m.p.Classes {
@@ -158,20 +168,51 @@
 			continue
 		}
 		r := m.row(n, 0)
-		m.rows[r][n-1] = 1
+		m.rows[r][m.t] = 1
 		for i, x := range m.columns {
 			if x.c == c {
 				m.rows[r][i] = -m.p.demand(x.c, x.z) / d
 			}
 		}
 	}
-	m.rows[m.row(n, 1)][n-1] = 1
+	m.rows[m.row(n, 1)][m.t] = 1
+}
+
+// doubt takes the loss off that comes when the worst hosts are at their least. Theta is what every one of them
+// loses, pi what those of a group lose beyond it, in units of the mean cap of a host.
+func (m *programme) doubt(n int) {
+	p, hosts, all := m.p, 0, 0.0
+	for _, g := range m.groups {
+		hosts, all = hosts+len(g.hosts), all+g.cap
+	}
+	if hosts == 0 || m.asked == 0 {
+		m.gain = append(m.gain, make([]float64, n-len(m.gain))...)
+		return
+	}
+	mean := all / float64(hosts)
+	m.unit = mean * m.asked / (p.meanWork() / 1000 * m.total) // earnings a second of a mean host's cap
+	worth := p.Goal.Whole * m.unit / m.asked
+	m.gain = append(m.gain, -worth*float64(p.Doubt.Worst))
+	for i, g := range m.groups {
+		m.gain = append(m.gain, -worth*float64(len(g.hosts)))
+		each := float64(len(g.hosts))
+		r := m.row(n, (1-p.Doubt.Spread)*g.cap/each/mean)
+		for k, x := range m.columns {
+			if x.g == i {
+				m.rows[r][k] = p.Classes[x.c].Work / 1000 * g.factor[x.c] * p.demand(x.c, x.z) / each / mean
+			}
+		}
+		m.rows[r][m.t+1], m.rows[r][m.t+2+i] = -1, -1
+	}
 }
 
+// doubted tells whether capacities are doubted at all.
+func (p *Problem) doubted() bool { return p.Doubt.Spread > 0 && p.Doubt.Worst > 0 }
+
 // run solves the programme by gonum's simplex method, and its dual for the prices of the caps. Slacks are a basis to
 // begin with; a row of a least share begins with the variable that pays for not meeting it.
 func (m *programme) run() (y, dual []float64, err error) {
-	n, r := len(m.columns)+1, len(m.rows)
+	n, r := len(m.gain), len(m.rows)
 	least := r - m.first
 	a := mat.NewDense(r, n+r+least, nil)
 	cost, basis := make([]float64, n+r+least), make([]int, r)
@@ -287,6 +328,12 @@
 		}
 	}
 	s.Crossing = cross
+	if p.doubted() {
+		s.AtRisk = m.unit * float64(p.Doubt.Worst) * y[m.t+1]
+		for i, g := range m.groups {
+			s.AtRisk += m.unit * float64(len(g.hosts)) * y[m.t+2+i]
+		}
+	}
 	s.Result = s.goal(p, m.total)
 	for _, c := range m.least {
 		if k := p.Classes[c]; s.Share[k.Name] < k.Least-1e-6 {
