Fit cores from windows in which few waited; tell when within a second a host turns

Cause: windows were chosen by the reported busy part, a noisy figure, so its low readings were chosen and cores came out as up to 17 of 4; and a second in which a host began to hang counted as alive. Change: windows are chosen by how long tries took; a host hangs from the first try that shows it.

--- a/replay/response/model.go
+++ b/replay/response/model.go
@@ -35,6 +35,7 @@
 // cell is what was seen of a host in a window.
 type cell struct {
 	good, failed, refused int
+	firstGood, firstBad   float64 // when the first good try began and the first of the others, -1: none
 	fastest               float64 // of the good tries' times over their class's usual time; 0: none
 	ratios                float64 // sum of these
 	work, took            float64 // sums of the usual times of the good tries, and of their own
@@ -111,7 +112,7 @@
 	i := max(int((at-m.start)/window), 0)
 	row := m.cells[host]
 	for len(row) <= i {
-		row = append(row, cell{util: -1})
+		row = append(row, cell{util: -1, firstGood: -1, firstBad: -1})
 	}
 	m.cells[host] = row
 	return &row[i]
@@ -160,6 +161,9 @@
 	case Fulfilled:
 		c := m.cell(host, at+took) // it was alive when it answered
 		c.good++
+		if c.firstGood < 0 || at < c.firstGood {
+			c.firstGood = at
+		}
 		usual := m.usualTime(class)
 		c.work, c.took = c.work+usual, c.took+took
 		ratio := took / usual
@@ -170,10 +174,16 @@
 		if c.ratios += ratio; c.fastest == 0 || ratio < c.fastest {
 			c.fastest = ratio
 		}
-	case Failed:
-		m.cell(host, at).failed++
-	case NeverRan:
-		m.cell(host, at).refused++
+	default:
+		c := m.cell(host, at)
+		if how == Failed {
+			c.failed++
+		} else {
+			c.refused++
+		}
+		if c.firstBad < 0 || at < c.firstBad {
+			c.firstBad = at
+		}
 	}
 }
 
@@ -199,19 +209,15 @@
 
 // Fit works out each host's speed and cores. A host is as fast as its tries are on average in its quicker windows,
 // where few wait. Its cores are the tries in hand, by their times (Little's law), over the part of them that it
-// reported as busy, in windows where some were free; without reports as many as its busiest window needs.
+// reported as busy, in windows where few waited; without reports as many as its busiest window needs.
 func (m *Model) Fit() {
 	for host, row := range m.cells {
 		var ratios []float64
-		inHand, busy, most := 0.0, 0.0, 0.0
+		most := 0.0
 		for _, c := range row {
-			if c.good == 0 {
-				continue
-			}
-			ratios = append(ratios, c.ratios/float64(c.good))
-			most = math.Max(most, c.work/window)
-			if c.util > 0.02 && c.util < 0.8 {
-				inHand, busy = inHand+c.took/window, busy+c.util
+			if c.good > 0 {
+				ratios = append(ratios, c.ratios/float64(c.good))
+				most = math.Max(most, c.work/window)
 			}
 		}
 		h := Host{Speed: 1, Cores: 1, Learned: len(ratios) > 0}
@@ -220,7 +226,7 @@
 			h.Speed = math.Max(ratios[len(ratios)/4], 0.05)
 			h.least = m.ratios[host].least()
 			cores := most * h.Speed
-			if busy > 0 {
+			if inHand, busy := inQuiet(row, h.Speed); busy > 0 {
 				cores = inHand / busy
 			}
 			h.Cores = min(max(int(math.Round(cores)), 1), 1024)
@@ -229,6 +235,20 @@
 	}
 }
 
+// inQuiet sums tries in hand and the busy part of the cores over windows where tries took about as long as usual.
+// They are chosen by that and not by the busy part: it is a noisy figure, and the low ones of it would be chosen.
+func inQuiet(row []cell, speed float64) (inHand, busy float64) {
+	for _, c := range row {
+		if c.good > 0 && c.failed == 0 && c.util >= 0 && c.ratios/float64(c.good) < quiet*speed {
+			inHand, busy = inHand+c.took/window, busy+c.util
+		}
+	}
+	return inHand, busy
+}
+
+// quiet is a window in which tries took less than so many times as long as usual.
+const quiet = 1.25
+
 // Host gives what the fit found.
 func (m *Model) Host(host string) Host {
 	h, ok := m.hosts[host]
@@ -248,6 +268,9 @@
 	for k := i; k >= 0 && k > i-reach; k-- {
 		if k < len(row) {
 			if s := row[k].state(); s != unseen {
+				if k == i && s == alive {
+					s = m.turning(row, i, t)
+				}
 				return s, row[k].slow(m.Host(host)), k == i
 			}
 		}
@@ -255,6 +278,23 @@
 	return alive, 1, false
 }
 
+// turning gives the state within a window in which a host was alive for a part only: it hangs or is dead from the
+// first try that shows it, if the next window does, and until the first good one, if the window before did.
+func (m *Model) turning(row []cell, i int, t float64) state {
+	c := &row[i]
+	if i+1 < len(row) && c.firstBad >= 0 && t >= c.firstBad {
+		if s := row[i+1].state(); s == hung || s == dead {
+			return s
+		}
+	}
+	if i > 0 && t < c.firstGood {
+		if s := row[i-1].state(); s == hung || s == dead {
+			return s
+		}
+	}
+	return alive
+}
+
 // reach is for how many windows what was last seen of a host holds on.
 const reach = 20
 
