--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"barleysail/internal/kept"
 )
 
 const good = `zones: ["a", "b"]
@@ -32,12 +31,5 @@
 			t.Errorf("defaults: %v", c)
 		}
 	}
-	if os.Getenv("KEEP") != "" {
-		os.MkdirAll("testdata", 0o755)
-		os.WriteFile("testdata/faults.txt", []byte(now.String()), 0o644)
-	}
-	kept, _ := os.ReadFile("testdata/faults.txt")
-	if diff := cmp.Diff(strings.Split(string(kept), "\n"), strings.Split(now.String(), "\n")); diff != "" {
-		t.Errorf("(-kept +now):\n%s", diff)
-	}
+	kept.Compare(t, "faults", now.String())
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -21,6 +21,7 @@
 	"barleysail/client"
 	"barleysail/internal/config"
 	"barleysail/internal/config/configpb"
+	"barleysail/internal/kept"
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
 	"barleysail/steward"
@@ -147,19 +148,6 @@
 	}
 }
 
-func kept(t *testing.T, now string) {
-	t.Helper()
-	file := filepath.Join("testdata", strings.TrimPrefix(t.Name(), "Test")+".txt")
-	if os.Getenv("KEEP") != "" {
-		os.MkdirAll("testdata", 0o755)
-		os.WriteFile(file, []byte(now), 0o644)
-	}
-	was, _ := os.ReadFile(file)
-	if diff := cmp.Diff(strings.Split(string(was), "\n"), strings.Split(now, "\n")); diff != "" {
-		t.Errorf("(-kept +now):\n%s", diff)
-	}
-}
-
 // The API as any HTTP client sees it.
 func TestAPI(t *testing.T) {
 	d := begin(t, "")
@@ -207,7 +195,7 @@
 	if delta.status != 226 {
 		t.Errorf("no delta came: %+v", delta)
 	}
-	kept(t, out.String())
+	kept.Trace(t, out.String())
 }
 
 // A poll held across the steward's restart: the client comes back, its old tag gets the whole, and meanwhile it
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -8,14 +8,13 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"regexp"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"barleysail/internal/kept"
 )
 
 // serve starts a server of a few routes: an echo, a plain page and one that is held until released.
@@ -99,14 +98,7 @@
 			}
 		}
 	}
-	if os.Getenv("KEEP") != "" {
-		os.MkdirAll("testdata", 0o755)
-		os.WriteFile("testdata/messages.txt", []byte(now.String()), 0o644)
-	}
-	kept, _ := os.ReadFile("testdata/messages.txt")
-	if diff := cmp.Diff(strings.Split(string(kept), "\n"), strings.Split(now.String(), "\n")); diff != "" {
-		t.Errorf("(-kept +now):\n%s", diff)
-	}
+	kept.Compare(t, "messages", now.String())
 }
 
 // What comes too slowly is answered 408, an idle connection is closed, and one too many gets 503.
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"barleysail/internal/kept"
 )
 
 var figures = Figures{Bare: 5000, Grace: 3000, ColdFrom: 0.2, Cold: 10000, Multiple: 4, Fall: 3000, LinesPerS: 1000, Head: 5,
@@ -88,12 +87,5 @@
 			}
 		}
 	}
-	if os.Getenv("KEEP") != "" {
-		os.MkdirAll("testdata", 0o755)
-		os.WriteFile("testdata/broken.txt", []byte(now.String()), 0o644)
-	}
-	kept, _ := os.ReadFile("testdata/broken.txt")
-	if diff := cmp.Diff(strings.Split(string(kept), "\n"), strings.Split(now.String(), "\n")); diff != "" {
-		t.Errorf("(-kept +now):\n%s", diff)
-	}
+	kept.Compare(t, "broken", now.String())
 }
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -5,17 +5,15 @@
 	"fmt"
 	"io"
 	"math"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"barleysail/decide"
 	"barleysail/internal/config"
+	"barleysail/internal/kept"
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
 	"barleysail/steward"
@@ -185,7 +183,7 @@
 	say("an answer was not recorded", append(append([]*recordpb.Record(nil), day[:i]...), day[i+1:]...))
 	say("an answer was recorded twice", append(append([]*recordpb.Record(nil), day[:i+1]...), day[i:]...))
 	say("the start is gone", day[1:])
-	kept(t, now.String())
+	kept.Trace(t, now.String())
 }
 
 // A part that is cut out replays by itself.
@@ -225,7 +223,7 @@
 	for _, m := range s.Moments {
 		fmt.Fprintf(&now, "%.0f %s\n", m.At, m.Text)
 	}
-	kept(t, now.String())
+	kept.Trace(t, now.String())
 	z := &summarizer{Summary: &Summary{From: 0}, width: firstSpan}
 	came := int64(0)
 	for z.now = 0; z.now < 3e6; z.now += 700 {
@@ -244,19 +242,6 @@
 	}
 }
 
-func kept(t *testing.T, now string) {
-	t.Helper()
-	file := filepath.Join("testdata", strings.TrimPrefix(t.Name(), "Test")+".txt")
-	if os.Getenv("KEEP") != "" {
-		os.MkdirAll("testdata", 0o755)
-		os.WriteFile(file, []byte(now), 0o644)
-	}
-	was, _ := os.ReadFile(file)
-	if diff := cmp.Diff(strings.Split(string(was), "\n"), strings.Split(now, "\n")); diff != "" {
-		t.Errorf("(-kept +now):\n%s", diff)
-	}
-}
-
 // BenchmarkAgain replays a minute of 150 hosts and 400 proxies.
 func BenchmarkAgain(b *testing.B) {
 	var day []*recordpb.Record
--- a/steward/helper_test.go
+++ b/steward/helper_test.go
@@ -3,14 +3,11 @@
 import (
 	"fmt"
 	"math"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"barleysail/decide"
+	"barleysail/internal/kept"
 )
 
 // desk drives a Steward on a scripted clock, and prints what comes out.
@@ -107,20 +104,8 @@
 	return d.polls
 }
 
-// check compares the trace with the kept one; KEEP=1 writes it anew, to be read before it is committed.
+// check compares the trace with the kept one.
 func (d *desk) check() {
 	d.t.Helper()
-	file := filepath.Join("testdata", strings.TrimPrefix(d.t.Name(), "Test")+".txt")
-	if os.Getenv("KEEP") != "" {
-		if err := os.WriteFile(file, []byte(d.trace.String()), 0o644); err != nil {
-			d.t.Fatal(err)
-		}
-	}
-	kept, err := os.ReadFile(file)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	if diff := cmp.Diff(strings.Split(string(kept), "\n"), strings.Split(d.trace.String(), "\n")); diff != "" {
-		d.t.Errorf("trace differs from %s (-kept +now):\n%s", file, diff)
-	}
+	kept.Trace(d.t, d.trace.String())
 }
