--- a/solver/plan.go
+++ b/solver/plan.go
@@ -166,11 +166,14 @@
 
 // Gap is how far tables are from the best there is.
 type Gap struct {
-	Result, Best   float64
-	Earned, Most   float64            // earnings a second
-	Over           map[string]float64 // hosts over their caps: load against the cap
-	Shift          map[string]float64 // by host: work that the best gives it more than the tables, ms a ms
-	ShareTo, Share map[string]float64 // by class: what is served, and what the best serves
+	Result  float64            `json:"result"`
+	Best    float64            `json:"best"`
+	Earned  float64            `json:"earned"` // earnings a second
+	Most    float64            `json:"most"`
+	Over    map[string]float64 `json:"over,omitempty"`  // hosts over their caps: load against the cap
+	Shift   map[string]float64 `json:"shift,omitempty"` // by host: work that the best gives it more than the tables, ms a ms
+	ShareTo map[string]float64 `json:"served"`          // by class
+	Share   map[string]float64 `json:"best_served"`
 }
 
 // Measure reckons what tables earn by the same model: what comes to a host over its cap is lost there in the same
--- a/steward/solved.go
+++ b/steward/solved.go
@@ -55,8 +55,11 @@
 		return
 	}
 	v.at = s.now + v.every
-	p, ok := s.problem()
-	if !ok {
+	p, lacks := s.problem()
+	if lacks != "" && lacks != v.lacks {
+		s.out.Log("no solved weights: " + lacks + " tells no cores")
+	}
+	if v.lacks = lacks; p == nil {
 		return
 	}
 	fresh := s.byCaps(p)
@@ -86,10 +89,10 @@
 	}
 }
 
-// problem is the fleet as listed, with the demand that the proxies lately told. Without any, or with a host that
-// tells no cores, there is none.
-func (s *Steward) problem() (*solver.Problem, bool) {
-	p := &solver.Problem{Zones: s.fleet.Zones, Demand: map[string]map[string]float64{}, Goal: solver.Goal{Whole: 1},
+// problem is the fleet as listed, with the demand that the proxies lately told. Without any there is none, nor with
+// a host that tells no cores, which it names.
+func (s *Steward) problem() (p *solver.Problem, lacks string) {
+	p = &solver.Problem{Zones: s.fleet.Zones, Demand: map[string]map[string]float64{}, Goal: solver.Goal{Whole: 1},
 		Deadline: deadlineMeans}
 	for _, host := range slices.Sorted(maps.Keys(s.list.entries)) {
 		e := s.list.entries[host]
@@ -97,11 +100,7 @@
 			continue
 		}
 		if e.Cores == 0 {
-			if s.solved.lacks != host {
-				s.solved.lacks = host
-				s.out.Log("no solved weights: " + host + " tells no cores")
-			}
-			return nil, false
+			return nil, host
 		}
 		speed := e.Speed
 		if speed == 0 {
@@ -121,7 +120,10 @@
 		p.Demand[c.Name] = by
 		p.Classes = append(p.Classes, solver.Class{Name: c.Name, Earnings: c.Earnings, Work: math.Max(c.Work, 1e-3), Local: c.Local})
 	}
-	return p, total > 0 && len(p.Hosts) > 0
+	if total == 0 || len(p.Hosts) == 0 {
+		return nil, ""
+	}
+	return p, ""
 }
 
 // byCaps gives each ready host a weight by its cap, 1 on average.
@@ -159,3 +161,50 @@
 	}
 	return t
 }
+
+// Gap tells how far the tables that the proxies now have are from the best for the fleet as listed and the demand
+// lately heard, by the solver's model. It gives nil where hosts tell no cores or no demand was heard.
+func (s *Steward) Gap() *solver.Gap {
+	p, lacks := s.problem()
+	if p == nil || lacks != "" {
+		return nil
+	}
+	t, count := solver.Tables{Weights: map[string]map[string]map[string]float64{}, Share: map[string]float64{}}, 0.0
+	for _, m := range s.members.byIndex {
+		if m == nil || len(m.versions) == 0 {
+			continue
+		}
+		count++
+		for _, c := range m.versions[len(m.versions)-1].view.classes {
+			t.Share[c.name] += math.Min(c.level.share, 1)
+			c.addTo(t, s.fleet.Zones[m.zone])
+		}
+	}
+	for class := range t.Share {
+		t.Share[class] /= count
+	}
+	g, err := p.Measure(t)
+	if err != nil {
+		return nil
+	}
+	return g
+}
+
+// addTo adds a proxy's table for a class to those of its zone, as parts of its traffic.
+func (c *classView) addTo(t solver.Tables, zone string) {
+	sum := 0.0
+	for _, l := range c.lines {
+		sum += l.weight
+	}
+	if t.Weights[c.name] == nil {
+		t.Weights[c.name] = map[string]map[string]float64{}
+	}
+	w := t.Weights[c.name][zone]
+	if w == nil {
+		w = map[string]float64{}
+		t.Weights[c.name][zone] = w
+	}
+	for _, l := range c.lines {
+		w[l.host] += l.weight / sum
+	}
+}
--- a/steward/solved_test.go
+++ b/steward/solved_test.go
@@ -54,6 +54,9 @@
 	d.say("much")
 	d.work(30, 22, &n)
 	d.say("weights %v", d.weights())
+	if g := d.Status(d.at).Gap; g == nil || g.Best < 0.98 || g.Result < 0.92 || g.Over["10.0.0.0:80"] > 1.1 {
+		t.Errorf("gap %+v", g)
+	}
 	d.say("a host that tells no cores")
 	list = append(list, Entry{Host: "10.0.0.9:80", Zone: "a", Phase: decide.Ready, Weight: 1})
 	d.list(list)
@@ -62,6 +65,9 @@
 	off, _ := uneven(t, false)
 	n = 0
 	off.work(30, 22, &n)
+	if g := off.Status(off.at).Gap; g == nil || g.Result > 0.8 || g.Over["10.0.0.0:80"] < 2 {
+		t.Errorf("without solved weights: gap %+v", g)
+	}
 	if strings.Contains(off.trace.String(), "solved") || off.weights()["10.0.0.1:80"] != 1 {
 		t.Errorf("switched off:\n%s", off.trace.String())
 	}
