Solve again from the last answer

Need: plans and renewals solve nearly the same problem over and over. Change: SolveFrom begins from the basis of an earlier answer, filled up with slacks that are independent of it, where that keeps the bounds.

--- a/solver/problem.go
+++ b/solver/problem.go
@@ -89,6 +89,7 @@
 // is shared by capacity, so none is over its cap unless the group is.
 type group struct {
 	zone   int
+	key    string    // names it in any problem
 	factor []float64 // by class
 	cap    float64   // work ms a ms
 	hosts  []int
@@ -201,7 +202,7 @@
 		at, ok := by[key]
 		if !ok {
 			at = len(all)
-			by[key] = at
+			by[key], g.key = at, key
 			all = append(all, g)
 		}
 		all[at].cap += load
--- a/solver/solve.go
+++ b/solver/solve.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 
+	"gonum.org/v1/gonum/floats"
 	"gonum.org/v1/gonum/mat"
 	"gonum.org/v1/gonum/optimize/convex/lp"
 )
@@ -22,6 +24,7 @@
 	Price    map[string]float64                       // of each host's cap: earnings a second that one more core like its own would bring
 	Crossing float64                                  // transactions a second that cross zones
 	AtRisk   float64                                  // with doubt: earnings a second lost when the worst comes
+	basis    []string                                 // names of the programme's variables that are above 0
 	Unmet    []string                                 // least shares that the caps do not leave room for, with what they get
 }
 
@@ -54,16 +57,39 @@
 
 // Solve finds what earns most. Of several that earn the same it always gives the same one, with near hosts before
 // far ones and hosts alike in proportion to their caps.
-func (p *Problem) Solve() (*Solution, error) {
+func (p *Problem) Solve() (*Solution, error) { return p.SolveFrom(nil) }
+
+// SolveFrom does the same beginning from an earlier answer, to this problem or to one like it; the nearer the
+// problems, the sooner it is done. Where the earlier answer is no help it begins from nothing.
+func (p *Problem) SolveFrom(last *Solution) (*Solution, error) {
 	if err := p.check(); err != nil {
 		return nil, err
 	}
 	m := p.programme()
-	y, dual, err := m.run()
+	y, dual, err := m.run(last)
 	if err != nil {
 		return nil, err
 	}
-	return m.read(y, dual), nil
+	s := m.read(y, dual)
+	for j, v := range y {
+		if v > 1e-9 {
+			s.basis = append(s.basis, m.name(j))
+		}
+	}
+	return s, nil
+}
+
+// name of a variable, the same in any programme over the same classes, zones and kinds of hosts.
+func (m *programme) name(j int) string {
+	n := len(m.gain)
+	switch {
+	case j < len(m.columns):
+		x := m.columns[j]
+		return fmt.Sprintf("y %d %d %s", x.c, x.z, m.groups[x.g].key)
+	case j < n:
+		return fmt.Sprintf("more %d", j-len(m.columns))
+	}
+	return fmt.Sprintf("slack %d", j-n)
 }
 
 func (p *Problem) programme() *programme {
@@ -211,7 +237,7 @@
 
 // run solves the programme by gonum's simplex method, and its dual for the prices of the caps. Slacks are a basis to
 // begin with; a row of a least share begins with the variable that pays for not meeting it.
-func (m *programme) run() (y, dual []float64, err error) {
+func (m *programme) run(last *Solution) (y, dual []float64, err error) {
 	n, r := len(m.gain), len(m.rows)
 	least := r - m.first
 	a := mat.NewDense(r, n+r+least, nil)
@@ -233,7 +259,14 @@
 	for j, g := range m.gain {
 		cost[j] = -g
 	}
-	_, x, err := lp.Simplex(cost, a, m.right, tolerance, basis)
+	var x []float64
+	err = errors.New("no earlier answer")
+	if begin := m.begin(last, a); begin != nil {
+		_, x, err = lp.Simplex(cost, a, m.right, tolerance, begin)
+	}
+	if err != nil {
+		_, x, err = lp.Simplex(cost, a, m.right, tolerance, basis)
+	}
 	if err != nil {
 		return nil, nil, fmt.Errorf("solving for the weights: %w", err)
 	}
@@ -241,6 +274,84 @@
 	return x[:n+r+least], dual, err
 }
 
+// begin gives the basis of an earlier answer, filled up with slacks, if it is a basis of this programme and its
+// answer keeps the bounds; else nil.
+func (m *programme) begin(last *Solution, a *mat.Dense) []int {
+	if last == nil || len(last.basis) == 0 {
+		return nil
+	}
+	r, all := a.Dims()
+	named := make(map[string]bool, len(last.basis))
+	for _, name := range last.basis {
+		named[name] = true
+	}
+	var wanted []int
+	for j := range all {
+		if named[m.name(j)] {
+			wanted = append(wanted, j)
+		}
+	}
+	for i := range r {
+		wanted = append(wanted, len(m.gain)+i)
+	}
+	basis := independent(a, wanted)
+	if len(basis) != r {
+		return nil
+	}
+	b := mat.NewDense(r, r, nil)
+	for k, j := range basis {
+		for i := range r {
+			b.Set(i, k, a.At(i, j))
+		}
+	}
+	var lu mat.LU
+	lu.Factorize(b)
+	var x mat.VecDense
+	if lu.Cond() > 1e12 || lu.SolveVecTo(&x, false, mat.NewVecDense(r, m.right)) != nil {
+		return nil
+	}
+	for i := range r {
+		if x.AtVec(i) < 0 {
+			return nil
+		}
+	}
+	return basis
+}
+
+// independent takes columns in order as long as they are linearly independent of those taken before, by elimination.
+func independent(a *mat.Dense, wanted []int) []int {
+	r, _ := a.Dims()
+	var taken []int
+	var done [][]float64 // columns taken, each 1 in its pivot's row, where those before it are 0
+	var pivots []int
+	for _, j := range wanted {
+		if len(taken) == r {
+			break
+		}
+		if slices.Contains(taken, j) {
+			continue
+		}
+		column := mat.Col(nil, j, a)
+		for k, d := range done {
+			if f := column[pivots[k]]; f != 0 {
+				floats.AddScaled(column, -f, d)
+			}
+		}
+		pivot := 0
+		for i := range column {
+			if math.Abs(column[i]) > math.Abs(column[pivot]) {
+				pivot = i
+			}
+		}
+		if math.Abs(column[pivot]) < 1e-9 {
+			continue
+		}
+		floats.Scale(1/column[pivot], column)
+		taken, done, pivots = append(taken, j), append(done, column), append(pivots, pivot)
+	}
+	return taken
+}
+
 // dual gives the price of each row: the prices solve B'u = c for the basis B of the answer, since reduced costs of
 // basic variables are 0. Where fewer variables are above 0 than there are rows (a degenerate answer) the least
 // prices that fit are taken.
--- a/solver/solver_test.go
+++ b/solver/solver_test.go
@@ -119,8 +119,7 @@
 	if w := s.Weights["finish"]["a"]; !near(w["h1"], 2*w["h0"], 1e-9) || s.Load["h2"] > 1+1e-9 {
 		t.Errorf("hosts alike share by their caps: %v", w)
 	}
-	again := solve(t, p)
-	if !reflect.DeepEqual(s, again) {
+	if again := solve(t, p); !reflect.DeepEqual(s, again) {
 		t.Error("two answers to one problem")
 	}
 	for field, bad := range map[string]func(*Problem){
@@ -268,6 +267,72 @@
 	return p
 }
 
+// Beginning from an earlier answer leads to what beginning from nothing does.
+func TestSolveFrom(t *testing.T) {
+	random := rand.New(rand.NewPCG(12, 12))
+	for n := range 200 {
+		p := drawn(random, 3+random.IntN(20), 3, 3)
+		last := solve(t, p)
+		for range 3 {
+			for _, by := range p.Demand {
+				for zone := range by {
+					by[zone] *= 0.9 + 0.2*random.Float64()
+				}
+			}
+			if random.IntN(3) == 0 {
+				p.Hosts[random.IntN(len(p.Hosts))].Draining = true
+			}
+			s, err := p.SolveFrom(last)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := p.Verify(s); err != nil {
+				t.Fatal(err)
+			}
+			if plain := solve(t, p); !near(s.Result, plain.Result, 1e-6) {
+				t.Errorf("fleet %d: %.7f from an earlier answer, %.7f from nothing", n, s.Result, plain.Result)
+			}
+			last = s
+		}
+	}
+}
+
+// BenchmarkAgain solves a fleet of 75 kinds of hosts anew: from nothing, from its last answer after earnings changed,
+// and after demand changed, which more often leaves the earlier answer outside the bounds.
+func BenchmarkAgain(b *testing.B) {
+	p := drawn(rand.New(rand.NewPCG(7, 7)), 506, 3, 4)
+	for h := range p.Hosts {
+		p.Hosts[h].Factor = map[string]float64{"class1": 1 + float64(h%25)/100}
+	}
+	last, err := p.Solve()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, x := range []struct {
+		name           string
+		from           *Solution
+		earn, demanded float64
+	}{{"from-nothing", nil, 0, 0}, {"earnings-changed", last, 0.01, 0}, {"demand-changed", last, 0, 0.001}} {
+		b.Run(x.name, func(b *testing.B) {
+			for n := range b.N {
+				q, by := *p, float64(n%3-1)
+				q.Classes = append([]Class(nil), p.Classes...)
+				q.Classes[0].Earnings *= 1 + x.earn*by
+				q.Demand = map[string]map[string]float64{}
+				for class, zones := range p.Demand {
+					q.Demand[class] = map[string]float64{}
+					for zone, d := range zones {
+						q.Demand[class][zone] = d * (1 + x.demanded*by)
+					}
+				}
+				if _, err := q.SolveFrom(x.from); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkSolve(b *testing.B) {
 	for _, n := range []struct{ hosts, zones, classes int }{{506, 3, 4}, {5000, 3, 4}} {
 		b.Run(fmt.Sprint(n.hosts), func(b *testing.B) {
