Measure the gap to the best tables in replays too

Need: how far each setting's tables are from what they could earn. Change: each window of a replay is solved for the hosts as the fitted model has them and the demand that came.

--- a/cmd/barleysail/whatif.go
+++ b/cmd/barleysail/whatif.go
@@ -227,7 +227,8 @@
 	fmt.Fprintf(out, "\nthe model, replayed less recorded: %s\n", estimate(c.Model))
 	fmt.Fprintf(out, "answers extrapolated, where nothing was seen of the host: %.1f%% and %.1f%%; taken as recorded: %d and %d\n",
 		percent(one.Beyond, one.Tries), percent(other.Beyond, other.Tries), one.AsSeen, other.AsSeen)
-	fmt.Fprintf(out, "messages to proxies: %d and %d\n\n", c.Messages[0], c.Messages[1])
+	fmt.Fprintf(out, "messages to proxies: %d and %d; mean gap to the best tables: %.4f and %.4f\n\n", c.Messages[0], c.Messages[1],
+		one.MeanGap(), other.MeanGap())
 	t = tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "rule\tmargin\tother\t")
 	for i, v := range one.Verdicts {
--- /dev/null
+++ b/replay/gap.go
@@ -0,0 +1,105 @@
+package replay
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"barleysail/solver"
+)
+
+// demand of a window, by class and zone of the proxies.
+type demand map[string]map[string]float64
+
+// came counts a transaction for the demand of the present window.
+func (e *engine) came(class, zone string) {
+	if e.demand == nil {
+		e.demand = demand{}
+	}
+	if e.demand[class] == nil {
+		e.demand[class] = map[string]float64{}
+	}
+	e.demand[class][zone]++
+}
+
+// sample measures, at the end of each window, how far the proxies' tables are from the best for the hosts as the
+// model has them then: one that hangs or is dead has no cores, a slow one a part of its speed.
+func (e *engine) sample() {
+	e.sampled += windowLength
+	e.dues.Add(e.sampled+windowLength, e.sample)
+	came := e.demand
+	e.demand = demand{}
+	if len(came) == 0 || len(e.listed) == 0 {
+		return
+	}
+	p := &solver.Problem{Demand: came, Goal: solver.Goal{Whole: 1}}
+	for _, by := range came {
+		for zone := range by {
+			by[zone] *= 1000 / windowLength
+		}
+	}
+	zones := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(e.listed)) {
+		h := e.listed[name]
+		fit := e.scan.model.Host(name)
+		answers, _ := e.scan.model.Alive(name, e.now)
+		x := solver.Host{Name: name, Zone: h.zone, Speed: 1 / math.Max(e.scan.model.Slowness(name, e.now)*fit.Speed, 1e-6), Warm: 1,
+			Draining: !h.ready}
+		if answers {
+			x.Cores = float64(fit.Cores)
+		}
+		p.Hosts = append(p.Hosts, x)
+		zones[h.zone] = true
+	}
+	for _, q := range e.proxies {
+		zones[q.zone] = true
+	}
+	p.Zones = slices.Sorted(maps.Keys(zones))
+	for _, c := range e.set.Classes {
+		if by := came[c.Name]; len(by) > 0 {
+			p.Classes = append(p.Classes, solver.Class{Name: c.Name, Earnings: c.Earnings, Work: e.scan.model.Usually(c.Name), Local: c.Local})
+		}
+	}
+	if g, err := p.Measure(e.standing()); err == nil {
+		e.out.Gaps = append(e.out.Gaps, g.Best-g.Result)
+	}
+}
+
+// standing are the proxies' tables, put together by zone.
+func (e *engine) standing() solver.Tables {
+	t, n := solver.Tables{Weights: map[string]map[string]map[string]float64{}, Share: map[string]float64{}}, map[string]float64{}
+	for _, name := range slices.Sorted(maps.Keys(e.proxies)) {
+		q := e.proxies[name]
+		for class, table := range q.tables {
+			sum := 0.0
+			for _, w := range table.Weights {
+				sum += w
+			}
+			if t.Weights[class] == nil {
+				t.Weights[class] = map[string]map[string]float64{}
+			}
+			by := t.Weights[class][q.zone]
+			if by == nil {
+				by = map[string]float64{}
+				t.Weights[class][q.zone] = by
+			}
+			for i, host := range table.Hosts {
+				by[host] += table.Weights[i] / sum
+			}
+			t.Share[class] += math.Min(table.Share, 1)
+			n[class]++
+		}
+	}
+	for class := range t.Share {
+		t.Share[class] /= n[class]
+	}
+	return t
+}
+
+// MeanGap of a day's windows.
+func (o *Outcome) MeanGap() float64 {
+	if len(o.Gaps) == 0 {
+		return 0
+	}
+	return sum(o.Gaps) / float64(len(o.Gaps))
+}
--- a/replay/other.go
+++ b/replay/other.go
@@ -41,6 +41,7 @@
 	Tries    int
 	Beyond   int                 // answers of hosts that are extrapolated
 	AsSeen   int                 // transactions of proxies without tables, taken as recorded
+	Gaps     []float64           // of the tables to the best, by window in which there was traffic
 	Offsets  map[string][]Offset // of the proxies' clocks
 	Doubled  int                 // transactions recorded twice, played once
 }
@@ -66,6 +67,8 @@
 		lives: map[string]*life{}, proxies: map[string]*proxy{}, class: map[string]int{},
 		out: &Outcome{From: sc.from, Offsets: map[string][]Offset{}}}
 	e.journal.Lean()
+	e.sampled = sc.from
+	e.dues.Add(sc.from+windowLength, e.sample)
 	for i, c := range set.Classes {
 		e.class[c.Name] = i
 		e.out.Classes = append(e.out.Classes, c.Name)
@@ -105,6 +108,10 @@
 	polls   int64
 	counter uint64
 
+	listed  map[string]listedHost // by the newest list of any steward
+	demand  demand
+	sampled float64
+
 	once, doubled int // transactions that must not run twice, and those that did
 }
 
@@ -116,6 +123,12 @@
 	return v
 }
 
+// listedHost is what the list says of a host.
+type listedHost struct {
+	zone  string
+	ready bool
+}
+
 // life is a steward's, from its start to its end.
 type life struct {
 	e       *engine
@@ -289,6 +302,10 @@
 		l.e.journal.Capacity(h.Address, float64(fit.Cores)/fit.Speed)
 	}
 	l.e.journal.Gave(l.e.now, seen)
+	l.e.listed = map[string]listedHost{}
+	for _, x := range entries {
+		l.e.listed[x.Host] = listedHost{x.Zone, x.Phase == decide.Ready}
+	}
 	l.steward.Listed(l.e.now, entries)
 }
 
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -344,6 +344,9 @@
 	if n := asked(plain); n < 2890 || n > 2910 || Compare(plain, plain, 1).All.One < 0.97 {
 		t.Fatalf("%.0f transactions, %+v", n, Compare(plain, plain, 1).All)
 	}
+	if len(plain.Gaps) < 5 || plain.MeanGap() < 0 || plain.MeanGap() > 0.2 {
+		t.Errorf("gaps %v", plain.Gaps)
+	}
 	doubled := play(still, func(_, n int, r *recordpb.Record) []*recordpb.Record {
 		if n%10 == 0 {
 			return []*recordpb.Record{r, r}
--- a/replay/response/model.go
+++ b/replay/response/model.go
@@ -357,3 +357,12 @@
 	}
 	return math.Min(math.Max(took/takes, workLeast), workMost)
 }
+
+// Slowness is how many times slower than usual a host is at a time.
+func (m *Model) Slowness(host string, t float64) float64 {
+	_, slow, _ := m.at(host, t)
+	return slow
+}
+
+// Usually is the usual time of a class.
+func (m *Model) Usually(class string) float64 { return m.usualTime(class) }
--- a/replay/transactions.go
+++ b/replay/transactions.go
@@ -31,6 +31,7 @@
 		return
 	}
 	p, c := e.proxy(name, zone), e.set.Classes[k]
+	e.came(t.Class, zone)
 	w := e.window(t.Came)
 	w.Asked[k] += c.Earnings
 	if last := len(t.Tries) - 1; t.Fulfilled && t.Tries[last].At+t.Tries[last].Took-t.Came <= c.Due {
