Solve on a running steward: GET /v1/fleet

Need: operators ask what the fleet that runs now could earn. Change: the steward gives the solver's problem, its list with cores and the demand lately heard; barleysail solve URL solves it. Result: a test solves what the API gives; without cores 404 says why.

--- a/cmd/barleysail/solve.go
+++ b/cmd/barleysail/solve.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -17,9 +20,9 @@
 func solveCommand() *cobra.Command {
 	var asJSON bool
 	var doubt solver.Doubt
-	c := &cobra.Command{Use: "solve FLEET", Short: "The weights and shares that earn most on a fleet", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "solve FLEET", Short: "The weights and shares that earn most on a fleet, by file or by a running steward's URL", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			p, _, err := config.LoadFleet(args[0])
+			p, err := fleet(args[0])
 			if err != nil {
 				return err
 			}
@@ -53,6 +56,32 @@
 	return c
 }
 
+// fleet reads a fleet file, or asks a running steward.
+func fleet(from string) (*solver.Problem, error) {
+	if !strings.HasPrefix(from, "http://") && !strings.HasPrefix(from, "https://") {
+		p, _, err := config.LoadFleet(from)
+		return p, err
+	}
+	client := &http.Client{Timeout: 10 * time.Second}
+	r, err := client.Get(strings.TrimRight(from, "/") + "/v1/fleet")
+	if err != nil {
+		return nil, fmt.Errorf("asking the steward for its fleet: %w", err)
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
+	if err != nil {
+		return nil, fmt.Errorf("reading the fleet: %w", err)
+	}
+	if r.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the steward answered %s: %s", r.Status, bytes.TrimSpace(body))
+	}
+	p := &solver.Problem{}
+	if err := json.Unmarshal(body, p); err != nil {
+		return nil, fmt.Errorf("reading the fleet: %w", err)
+	}
+	return p, nil
+}
+
 // kinds of hosts, in the order of the file, with their first host and their number.
 type kind struct {
 	name  string
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -30,6 +30,7 @@
 	m.Handle("DELETE", "/v1/proxies/{proxy}", http1.Route{Serve: a.leave})
 	m.Handle("POST", "/v1/proxies/{proxy}/sums", http1.Route{Serve: a.sums, Media: []string{"application/json"}})
 	m.Handle("GET", "/v1/status", http1.Route{Serve: a.status})
+	m.Handle("GET", "/v1/fleet", http1.Route{Serve: a.fleet})
 	return m
 }
 
@@ -186,6 +187,15 @@
 	}{a.version, a.core.status()})
 }
 
+// fleet gives the solver's problem, for barleysail solve.
+func (a *api) fleet(*http1.Request) http1.Reply {
+	p := a.core.fleet()
+	if p == nil {
+		return http1.Problem{Status: 404, Detail: "a host on the list tells no cores, or no demand was heard yet"}.Reply()
+	}
+	return jsonReply(p)
+}
+
 func jsonReply(v any) http1.Reply {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -10,6 +10,7 @@
 	"barleysail/decide"
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
+	"barleysail/solver"
 	"barleysail/steward"
 )
 
@@ -201,6 +202,11 @@
 	return st
 }
 
+func (c *core) fleet() (p *solver.Problem) {
+	c.do(func(float64) { p = c.steward.Fleet() })
+	return p
+}
+
 // stop ends all calls; with release the polls that are held are answered first.
 func (c *core) stop(release bool) {
 	if release {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -24,6 +24,7 @@
 	"barleysail/internal/kept"
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
+	"barleysail/solver"
 	"barleysail/steward"
 )
 
@@ -501,6 +502,29 @@
 	until(t, "the list again", func() bool { st := d.core.status(); return st.Hosts == 3 && !st.ListFailed })
 }
 
+// Where hosts tell their cores and proxies their usage, the steward gives its fleet as the solver's problem, and the
+// gap of its tables.
+func TestFleet(t *testing.T) {
+	d := begin(t, "")
+	if g := d.do("GET", "/v1/fleet", ""); g.status != 404 {
+		t.Errorf("without cores: %+v", g)
+	}
+	d.hosts(`hosts { address: "10.0.0.1:80" zone: "a" cores: 8 } hosts { address: "10.0.0.2:80" zone: "b" cores: 2 speed: 0.5 }`)
+	until(t, "the list", func() bool { return strings.Count(d.log.String(), "host list read") == 2 })
+	d.do("GET", "/v1/proxies/p/tables?zone=a", "")
+	d.do("POST", "/v1/proxies/p/sums", `{"number":1,"usage":{"sheet":{"came":100,"span":1000}}}`, "Content-Type", "application/json")
+	var p solver.Problem
+	if g := d.do("GET", "/v1/fleet", ""); g.status != 200 || json.Unmarshal([]byte(g.body), &p) != nil {
+		t.Fatalf("%+v", g)
+	}
+	if s, err := p.Solve(); err != nil || len(p.Hosts) != 2 || s.Asked <= 0 || p.Verify(s) != nil {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if st := d.core.status(); st.Gap == nil || st.Gap.Best < st.Gap.Result {
+		t.Errorf("gap %+v", st.Gap)
+	}
+}
+
 // A clean end answers the polls that are held, with what stands, and takes no more.
 func TestStopAnswersPolls(t *testing.T) {
 	d := begin(t, "")
--- a/steward/solved.go
+++ b/steward/solved.go
@@ -126,6 +126,16 @@
 	return p, ""
 }
 
+// Fleet gives the solver's problem for the fleet as listed and the demand lately heard, nil where there is none: a
+// host tells no cores, or no demand was heard.
+func (s *Steward) Fleet() *solver.Problem {
+	p, lacks := s.problem()
+	if lacks != "" {
+		return nil
+	}
+	return p
+}
+
 // byCaps gives each ready host a weight by its cap, 1 on average.
 func (s *Steward) byCaps(p *solver.Problem) map[string]float64 {
 	all := 0.0
@@ -165,8 +175,8 @@
 // Gap tells how far the tables that the proxies now have are from the best for the fleet as listed and the demand
 // lately heard, by the solver's model. It gives nil where hosts tell no cores or no demand was heard.
 func (s *Steward) Gap() *solver.Gap {
-	p, lacks := s.problem()
-	if p == nil || lacks != "" {
+	p := s.Fleet()
+	if p == nil {
 		return nil
 	}
 	t, count := solver.Tables{Weights: map[string]map[string]map[string]float64{}, Share: map[string]float64{}}, 0.0
