Put proxies' tables together in one place; drop what is dead

The same pooling of tables by zone stood in library, replay and rehearsal; a class's demand was had by way of an empty programme; the recorded earnings of a transaction were reckoned twice; a reader, a field and two wrappers served nothing. Change: solver.Pool, Problem.classDemand, one reckoning; the dead parts are gone.

--- a/internal/http1/held.go
+++ b/internal/http1/held.go
@@ -21,8 +21,7 @@
 // Hold makes the request one whose reply comes later, by Answer. If the peer goes away before, gone is called
 // from the connection's goroutine.
 func (q *Request) Hold(gone func()) *Held {
-	q.held = &Held{conn: q.conn, gone: gone, answered: make(chan struct{})}
-	return q.held
+	return &Held{conn: q.conn, gone: gone, answered: make(chan struct{})}
 }
 
 // Answer gives the reply, from any goroutine, and does not wait for the peer. Only the first one counts.
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -35,7 +35,6 @@
 	Remote  string
 	Params  map[string]string // of the route's path
 	conn    *conn
-	held    *Held
 	expects bool
 	length  int64 // of the body; -1: chunked
 	close   bool
@@ -99,14 +98,10 @@
 }
 
 // reader reads messages off a connection by lines.
-type reader struct {
-	buf  *bufio.Reader
-	text *textproto.Reader
-}
+type reader struct{ buf *bufio.Reader }
 
 func newReader(r io.Reader) *reader {
-	b := bufio.NewReaderSize(r, 4096)
-	return &reader{b, textproto.NewReader(b)}
+	return &reader{bufio.NewReaderSize(r, 4096)}
 }
 
 // line reads a line of at most so many bytes. A bare CR is a fault, a bare LF ends a line (RFC 9112, 2.2).
--- a/internal/http1/mux.go
+++ b/internal/http1/mux.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/textproto"
+	"net/url"
 	"sort"
 	"strings"
 )
@@ -72,7 +73,7 @@
 	}
 	params := map[string]string{}
 	for i, want := range p.parts {
-		got, err := unescape(parts[i])
+		got, err := url.PathUnescape(parts[i])
 		if err != nil {
 			return nil, false
 		}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/url"
 	"os"
 	"slices"
 	"strconv"
@@ -15,8 +14,6 @@
 	"time"
 )
 
-func unescape(s string) (string, error) { return url.PathUnescape(s) }
-
 // Config of a Server. A zero value takes the default that stands beside it.
 type Config struct {
 	Limits
--- a/internal/rehearse/gap.go
+++ b/internal/rehearse/gap.go
@@ -74,36 +74,21 @@
 	return p
 }
 
-// tables are the forwarders' own, put together by zone: each forwarder gets the same traffic, so its weights count
-// as parts of its table.
+// tables are the forwarders' own, put together by zone: each forwarder gets the same traffic.
 func (d *day) tables() solver.Tables {
-	t := solver.Tables{Weights: map[string]map[string]map[string]float64{}, Share: map[string]float64{}}
-	count := map[string]float64{}
+	pool := solver.NewPool()
 	for _, f := range d.forwarders {
 		for class, table := range f.Client.Tables() {
-			sum := 0.0
-			for _, h := range table.Hosts {
-				sum += h.Weight
-			}
-			if t.Weights[class] == nil {
-				t.Weights[class] = map[string]map[string]float64{}
-			}
-			w := t.Weights[class][f.Zone()]
-			if w == nil {
-				w = map[string]float64{}
-				t.Weights[class][f.Zone()] = w
-			}
-			for _, h := range table.Hosts {
-				w[h.Address] += h.Weight / sum
-			}
-			t.Share[class] += min(table.Share, 1)
-			count[class]++
+			pool.Add(class, f.Zone(), table.Share, func(yield func(string, float64) bool) {
+				for _, h := range table.Hosts {
+					if !yield(h.Address, h.Weight) {
+						return
+					}
+				}
+			})
 		}
 	}
-	for class, n := range count {
-		t.Share[class] /= n
-	}
-	return t
+	return pool.Tables()
 }
 
 func (g *gaps) print(out io.Writer) {
--- a/replay/gap.go
+++ b/replay/gap.go
@@ -57,7 +57,7 @@
 	p.Zones = slices.Sorted(maps.Keys(zones))
 	for _, c := range e.set.Classes {
 		if by := came[c.Name]; len(by) > 0 {
-			p.Classes = append(p.Classes, solver.Class{Name: c.Name, Earnings: c.Earnings, Work: e.scan.model.Usually(c.Name), Local: c.Local})
+			p.Classes = append(p.Classes, solver.Class{Name: c.Name, Earnings: c.Earnings, Work: e.scan.model.UsualTime(c.Name), Local: c.Local})
 		}
 	}
 	if g, err := p.Measure(e.standing()); err == nil {
@@ -67,33 +67,20 @@
 
 // standing are the proxies' tables, put together by zone.
 func (e *engine) standing() solver.Tables {
-	t, n := solver.Tables{Weights: map[string]map[string]map[string]float64{}, Share: map[string]float64{}}, map[string]float64{}
+	pool := solver.NewPool()
 	for _, name := range slices.Sorted(maps.Keys(e.proxies)) {
 		q := e.proxies[name]
 		for class, table := range q.tables {
-			sum := 0.0
-			for _, w := range table.Weights {
-				sum += w
-			}
-			if t.Weights[class] == nil {
-				t.Weights[class] = map[string]map[string]float64{}
-			}
-			by := t.Weights[class][q.zone]
-			if by == nil {
-				by = map[string]float64{}
-				t.Weights[class][q.zone] = by
-			}
-			for i, host := range table.Hosts {
-				by[host] += table.Weights[i] / sum
-			}
-			t.Share[class] += math.Min(table.Share, 1)
-			n[class]++
+			pool.Add(class, q.zone, table.Share, func(yield func(string, float64) bool) {
+				for i, host := range table.Hosts {
+					if !yield(host, table.Weights[i]) {
+						return
+					}
+				}
+			})
 		}
 	}
-	for class := range t.Share {
-		t.Share[class] /= n[class]
-	}
-	return t
+	return pool.Tables()
 }
 
 // MeanGap of a day's windows.
--- a/replay/response/hosts.go
+++ b/replay/response/hosts.go
@@ -46,7 +46,7 @@
 			core = i
 		}
 	}
-	takes := h.model.usualTime(class) * fit.Speed * slow * work
+	takes := h.model.UsualTime(class) * fit.Speed * slow * work
 	begin := math.Max(at, free[core])
 	done = begin + takes
 	if fit.Full > 0 && done-at > fit.Full {
@@ -88,7 +88,7 @@
 	steady := math.Min(1, h.before[host]/window/float64(fit.Cores))
 	usual := 0.0
 	for class := range h.model.usual {
-		usual = math.Max(usual, h.model.usualTime(class)*fit.Speed)
+		usual = math.Max(usual, h.model.UsualTime(class)*fit.Speed)
 	}
 	if usual > 0 {
 		queue = math.Floor(math.Max(0, behind/usual-float64(fit.Cores)))
--- a/replay/response/model.go
+++ b/replay/response/model.go
@@ -144,8 +144,8 @@
 // usualPart of the good tries of a class lie under its usual time: most of those were not held up by others.
 const usualPart = 0.35
 
-// usualTime of a class.
-func (m *Model) usualTime(class string) float64 {
+// UsualTime is that of a class: what a try takes that is not held up.
+func (m *Model) UsualTime(class string) float64 {
 	t, ok := m.usual[class]
 	if !ok {
 		if s := m.samples[class]; s != nil {
@@ -166,7 +166,7 @@
 		if c.firstGood < 0 || at < c.firstGood {
 			c.firstGood = at
 		}
-		usual := m.usualTime(class)
+		usual := m.UsualTime(class)
 		c.work, c.took = c.work+usual, c.took+took
 		c.longest = math.Max(c.longest, took)
 		ratio := took / usual
@@ -378,7 +378,7 @@
 // Takes is how long an unhurried try of usual work takes at a host at a time.
 func (m *Model) Takes(class, host string, t float64) float64 {
 	_, slow, _ := m.at(host, t)
-	return m.usualTime(class) * m.Host(host).Speed * slow
+	return m.UsualTime(class) * m.Host(host).Speed * slow
 }
 
 // bounds of a transaction's work against its class's usual: beyond them a long answer was waiting, not work.
@@ -407,6 +407,3 @@
 	_, slow, _ := m.at(host, t)
 	return slow
 }
-
-// Usually is the usual time of a class.
-func (m *Model) Usually(class string) float64 { return m.usualTime(class) }
--- a/replay/response/response_test.go
+++ b/replay/response/response_test.go
@@ -65,7 +65,7 @@
 	record(m, m.Saw, m.Probed)
 	m.Fit()
 	for h, truth := range hosts {
-		fit, usual := m.Host(fmt.Sprint("h", h)), m.usualTime("sheet")/100
+		fit, usual := m.Host(fmt.Sprint("h", h)), m.UsualTime("sheet")/100
 		if h == 5 { // of one that cannot keep up only what it gets done can be told
 			if does := float64(fit.Cores) / fit.Speed / usual; math.Abs(does-2) > 0.5 {
 				t.Errorf("host 5 is taken to do %.2f of 2 cores' work: %+v", does, fit)
@@ -73,7 +73,7 @@
 			continue
 		}
 		if math.Abs(float64(fit.Cores-truth.cores)) > 1 || math.Abs(fit.Speed*usual/truth.speed-1) > 0.25 {
-			t.Errorf("host %d: %+v of %+v, usual %.0f", h, fit, truth, m.usualTime("sheet"))
+			t.Errorf("host %d: %+v of %+v, usual %.0f", h, fit, truth, m.UsualTime("sheet"))
 		}
 	}
 	for _, x := range []struct {
--- a/replay/transactions.go
+++ b/replay/transactions.go
@@ -34,9 +34,11 @@
 	e.came(t.Class, zone)
 	w := e.window(t.Came)
 	w.Asked[k] += c.Earnings
+	earned := 0.0
 	if last := len(t.Tries) - 1; t.Fulfilled && t.Tries[last].At+t.Tries[last].Took-t.Came <= c.Due {
-		w.Recorded[k] += c.Earnings
+		earned = c.Earnings
 	}
+	w.Recorded[k] += earned
 	u := p.sums.Usage[t.Class]
 	u.Came++
 	p.sums.Usage[t.Class] = u
@@ -46,9 +48,7 @@
 	table := p.tables[t.Class]
 	if !table.Ordered { // it went by hosts of its own, which no steward ordered
 		e.out.AsSeen++
-		if last := len(t.Tries) - 1; t.Fulfilled && t.Tries[last].At+t.Tries[last].Took-t.Came <= c.Due {
-			w.Replayed[k] += c.Earnings
-		}
+		w.Replayed[k] += earned
 		return
 	}
 	if table.Share < 1 && e.chance() >= table.Share {
--- a/solver/plan.go
+++ b/solver/plan.go
@@ -222,7 +222,7 @@
 	}
 	asked, worst := 0.0, 1.0
 	for c, k := range p.Classes {
-		d := (&programme{p: p}).classDemand(c)
+		d := p.classDemand(c)
 		total, asked = total+d, asked+d*k.Earnings
 		g.Earned += served[k.Name] * k.Earnings
 		if d > 0 {
--- a/solver/problem.go
+++ b/solver/problem.go
@@ -148,6 +148,14 @@
 
 func (p *Problem) demand(c, z int) float64 { return p.Demand[p.Classes[c].Name][p.Zones[z]] }
 
+// classDemand of all zones together.
+func (p *Problem) classDemand(c int) (d float64) {
+	for z := range p.Zones {
+		d += p.demand(c, z)
+	}
+	return d
+}
+
 // meanWork of a transaction, by demand.
 func (p *Problem) meanWork() float64 {
 	work, n := 0.0, 0.0
--- a/solver/solve.go
+++ b/solver/solve.go
@@ -139,12 +139,12 @@
 	}
 	m.first = len(m.rows)
 	for c, k := range p.Classes {
-		if k.Least > 0 && m.classDemand(c) > 0 {
+		if k.Least > 0 && m.p.classDemand(c) > 0 {
 			r := m.row(n, k.Least)
 			m.least = append(m.least, c)
 			for i, x := range m.columns {
 				if x.c == c {
-					m.rows[r][i] = p.demand(x.c, x.z) / m.classDemand(c)
+					m.rows[r][i] = p.demand(x.c, x.z) / m.p.classDemand(c)
 				}
 			}
 		}
@@ -157,13 +157,6 @@
 	return len(m.rows) - 1
 }
 
-func (m *programme) classDemand(c int) (d float64) {
-	for z := range m.p.Zones {
-		d += m.p.demand(c, z)
-	}
-	return d
-}
-
 // nearer is the part of its gain by which a near group is preferred, so that equal answers are one.
 const nearer = 1e-7
 
@@ -189,7 +182,7 @@
 		return
 	}
 	for c := range m.p.Classes {
-		d := m.classDemand(c)
+		d := m.p.classDemand(c)
 		if d == 0 {
 			continue
 		}
@@ -418,7 +411,7 @@
 		}
 	}
 	for c, k := range p.Classes {
-		in, d := 0.0, m.classDemand(c)
+		in, d := 0.0, m.p.classDemand(c)
 		for z, zone := range p.Zones {
 			if x := p.demand(c, z); x > 0 {
 				s.ZoneIn[k.Name][zone] = math.Min(served[c][z], 1)
@@ -459,7 +452,7 @@
 func (s *Solution) goal(p *Problem, total float64) float64 {
 	worst := 1.0
 	for c, k := range p.Classes {
-		if (&programme{p: p}).classDemand(c) > 0 {
+		if p.classDemand(c) > 0 {
 			worst = math.Min(worst, s.Share[k.Name])
 		}
 	}
--- a/steward/solved.go
+++ b/steward/solved.go
@@ -174,39 +174,20 @@
 	if p = s.Fleet(); p == nil {
 		return nil, t
 	}
-	t = solver.Tables{Weights: map[string]map[string]map[string]float64{}, Share: map[string]float64{}}
-	count := 0.0
+	pool := solver.NewPool()
 	for _, m := range s.members.byIndex {
 		if m == nil || len(m.versions) == 0 {
 			continue
 		}
-		count++
 		for _, c := range m.versions[len(m.versions)-1].view.classes {
-			t.Share[c.name] += math.Min(c.level.share, 1)
-			c.addTo(t, s.fleet.Zones[m.zone])
+			pool.Add(c.name, s.fleet.Zones[m.zone], c.level.share, func(yield func(string, float64) bool) {
+				for _, l := range c.lines {
+					if !yield(l.host, l.weight) {
+						return
+					}
+				}
+			})
 		}
 	}
-	for class := range t.Share {
-		t.Share[class] /= count
-	}
-	return p, t
-}
-
-// addTo adds a proxy's table for a class to those of its zone, as parts of its traffic.
-func (c *classView) addTo(t solver.Tables, zone string) {
-	sum := 0.0
-	for _, l := range c.lines {
-		sum += l.weight
-	}
-	if t.Weights[c.name] == nil {
-		t.Weights[c.name] = map[string]map[string]float64{}
-	}
-	w := t.Weights[c.name][zone]
-	if w == nil {
-		w = map[string]float64{}
-		t.Weights[c.name][zone] = w
-	}
-	for _, l := range c.lines {
-		w[l.host] += l.weight / sum
-	}
+	return p, pool.Tables()
 }
