--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -159,7 +159,7 @@
 		func(now float64) { c.steward.Probed(now, host, how, load) })
 }
 
-// poll has to called once with the answer, unless it gives an error. It gives the poll's id.
+// poll has to be called once with the answer, unless it gives an error. It gives the poll's id.
 func (c *core) poll(q steward.Query, to func(steward.Answer)) (id int64, err error) {
 	err = errStopping
 	c.do(func(now float64) {
@@ -226,7 +226,7 @@
 // stop ends all calls; with release the polls that are held are answered first.
 func (c *core) stop(release bool) {
 	if release {
-		c.do(func(now float64) { c.steward.Release(now, c) })
+		c.input(record.Release, func(now float64) { c.steward.Release(now, c) })
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -525,9 +525,10 @@
 	}
 }
 
-// A clean end answers the polls that are held, with what stands, and takes no more.
+// A clean end answers the polls that are held, with what stands, and takes no more; its recording replays to the end.
 func TestStopAnswersPolls(t *testing.T) {
-	d := begin(t, "")
+	file := filepath.Join(t.TempDir(), "day.rec")
+	d := begin(t, fmt.Sprintf("record: %q", file))
 	tag := d.do("GET", "/v1/proxies/p/tables?zone=a", "").header.Get("Etag")
 	answer := make(chan got)
 	go func() {
@@ -545,6 +546,14 @@
 	if g := d.do("GET", "/v1/status", ""); g.status != 0 {
 		t.Errorf("after the end: %+v", g)
 	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	said, answers, last := feed(t, text)
+	if diff := cmp.Diff(said, answers); diff != "" || last != io.EOF || len(said) != 2 {
+		t.Errorf("%d answers, then %v (-daemon +library):\n%s", len(said), last, diff)
+	}
 }
 
 func TestMain(m *testing.M) {
--- a/internal/record/inputs.go
+++ b/internal/record/inputs.go
@@ -79,6 +79,11 @@
 	return &recordpb.Record{At: at, What: &recordpb.Record_Advance{Advance: true}}
 }
 
+// Release records that all held polls are answered.
+func Release(at float64) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_Release{Release: true}}
+}
+
 // Published records an answer to a poll.
 func Published(at float64, poll int64, a steward.Answer) *recordpb.Record {
 	body := a.Body()
@@ -122,6 +127,8 @@
 		s.Probed(r.At, x.Probed.Host, decide.Outcome(x.Probed.Outcome), unload(x.Probed.Load))
 	case *recordpb.Record_Advance:
 		s.Advance(r.At, out)
+	case *recordpb.Record_Release:
+		s.Release(r.At, out)
 	case *recordpb.Record_Published, *recordpb.Record_Start, *recordpb.Record_ProxyStart, *recordpb.Record_Transaction,
 		*recordpb.Record_Applied:
 	default:
--- a/replay/describe.go
+++ b/replay/describe.go
@@ -41,6 +41,8 @@
 	case *recordpb.Record_Probed:
 		how := [...]string{"answered", "refused", "was silent", "was not there"}
 		return at + fmt.Sprintf("%s %s to a probe", x.Probed.Host, how[min(max(int(x.Probed.Outcome), 0), 3)])
+	case *recordpb.Record_Release:
+		return at + "the steward ends: held polls are answered"
 	case *recordpb.Record_Advance:
 		return at + "time passed"
 	}
