Replay: tell waiting from work by the queue read backwards, and follow recorded draws

Causes found second by second: cores fitted from one noisy figure, the length of a full queue taken as a time, a full host taken for dead, loads read by all proxies at one moment, and draws of the replay's own.

Cores are as listed; a host's tries are put back into its queue, so work and waiting come apart; hosts are drawn by a maximal coupling with the recorded draws; proxies' recordings tell shunning and repeats (format 3).

Stand-in hosts serve first come, first served.

--- a/client/client.go
+++ b/client/client.go
@@ -84,6 +84,9 @@
 	Now func() time.Time  // nil: time.Now
 }
 
+// UsualShuns is how long a proxy shuns a host where its options do not say.
+const UsualShuns = 5 * time.Second
+
 // Client keeps a proxy's tables. Its methods may be called from any goroutine.
 type Client struct {
 	o        Options
@@ -118,7 +121,7 @@
 		}
 	}
 	for d, to := range map[*time.Duration]time.Duration{&o.Wait: 30 * time.Second, &o.Period: time.Second,
-		&o.Least: 100 * time.Millisecond, &o.Most: 4 * time.Second, &o.Shuns: 5 * time.Second} {
+		&o.Least: 100 * time.Millisecond, &o.Most: 4 * time.Second, &o.Shuns: UsualShuns} {
 		if *d == 0 {
 			*d = to
 		}
--- a/cmd/barleysail/solve.go
+++ b/cmd/barleysail/solve.go
@@ -113,6 +113,10 @@
 	fmt.Fprintf(out, "earns %.1f of %.1f a second asked for; result %.4f; %.1f transactions a second cross zones\n\n", s.Earned, s.Asked,
 		s.Result, s.Crossing)
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
+	if p.Goal.Connect > 0 {
+		fmt.Fprintf(out, "%d connections, which cost %.4f of the result; no other answer is above %.4f\n\n", s.Connections,
+			p.Goal.Connect*float64(s.Connections), s.Bound)
+	}
 	fmt.Fprint(w, "class\tlet in")
 	for _, z := range p.Zones {
 		fmt.Fprintf(w, "\tof %s", z)
@@ -192,6 +196,19 @@
 	return solver.Host{}, 0, fmt.Errorf("--add %s: wanted is a host or kind of the file, a zone and a number, as in full:addis:5", text)
 }
 
+// warming tells what is earned while cold hosts warm.
+func warming(out io.Writer, p *solver.Problem) error {
+	stages, err := p.Warming()
+	if err != nil || len(stages) < 2 {
+		return err
+	}
+	fmt.Fprintln(out, "\nwhile cold hosts warm:")
+	for _, x := range stages {
+		fmt.Fprintf(out, "  after %6.1f s  earns %.1f a second, result %.4f\n", x.At/1000, x.Solution.Earned, x.Solution.Result)
+	}
+	return nil
+}
+
 func plan(out io.Writer, p *solver.Problem, change solver.Change, pace solver.Pace) error {
 	q, err := p.With(change)
 	if err != nil {
@@ -223,6 +240,9 @@
 		}
 		fmt.Fprintf(out, "at its cap: %s; a core more there earns %.2f a second\n", host, after.Price[host])
 	}
+	if err := warming(out, q); err != nil {
+		return err
+	}
 	if len(change.Drain) == 0 {
 		return nil
 	}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -34,7 +34,20 @@
 	f.within("lines_per_s", *c.LinesPerS, 1, 1e9)
 	f.within("grace_ms", *c.GraceMs, 0, hour)
 	q := &solver.Problem{Zones: c.Zones, Deadline: *c.Deadline, Demand: map[string]map[string]float64{},
-		Goal: solver.Goal{Whole: *c.Whole, WorstClass: *c.WorstClass, Cross: *c.CrossPrice}}
+		Goal: solver.Goal{Whole: *c.Whole, WorstClass: *c.WorstClass, Cross: *c.CrossPrice, Connect: c.ConnectPrice}, Proxies: map[string]int{}}
+	f.within("connect_price", c.ConnectPrice, 0, 1000)
+	f.whole("proxies", *c.Proxies, 0, 1e6)
+	proxies := int(*c.Proxies)
+	for i, z := range c.Zones {
+		q.Proxies[z] = proxies/len(c.Zones) + min(max(proxies%len(c.Zones)-i, 0), 1)
+	}
+	if len(c.ProxiesOf) > 0 {
+		proxies, q.Proxies = 0, map[string]int{}
+		for z, n := range c.ProxiesOf {
+			q.Proxies[z] = int(n)
+			proxies += int(n)
+		}
+	}
 	for i, k := range c.Classes {
 		if k.WorkMs == nil {
 			f.fail(fmt.Sprintf("classes[%d].work_ms", i), "is missing")
@@ -54,7 +67,7 @@
 	if f.err == nil {
 		f.refused(q)
 	}
-	return q, solver.Pace{Proxies: int(*c.Proxies), LinesPerS: *c.LinesPerS, Head: *c.HeadLines, Grace: *c.GraceMs}, f.err
+	return q, solver.Pace{Proxies: proxies, LinesPerS: *c.LinesPerS, Head: *c.HeadLines, Grace: *c.GraceMs}, f.err
 }
 
 // refused words what the solver refuses of a problem with file and line.
@@ -81,6 +94,7 @@
 	f.within(at+".speed", or(h.Speed, 1), 0, 1e9)
 	f.within(at+".warm", or(h.Warm, 1), 0, 1)
 	f.within(at+".most", h.Most, 0, 1)
+	f.within(at+".warm_in_ms", h.WarmInMs, 0, hour)
 	if f.err != nil {
 		return
 	}
@@ -90,7 +104,7 @@
 	}
 	for k := range n {
 		x := solver.Host{Name: name, Zone: h.Zone, Kind: h.Kind, Cores: or(h.Cores, 4), Speed: or(h.Speed, 1), Warm: or(h.Warm, 1),
-			Draining: h.Draining, Most: h.Most, Factor: map[string]float64{}}
+			Draining: h.Draining, Most: h.Most, WarmIn: h.WarmInMs, Factor: map[string]float64{}}
 		if n > 1 || h.Name == "" {
 			x.Name = fmt.Sprintf("%s-%d", name, k)
 		}
--- a/internal/record/proxy.go
+++ b/internal/record/proxy.go
@@ -18,11 +18,15 @@
 
 func unixMs(t time.Time) float64 { return float64(t.UnixMicro()) / 1000 }
 
-// NewProxy begins a proxy's recording.
-func NewProxy(w io.Writer, program, proxy, zone string) *Proxy {
+// NewProxy begins a proxy's recording. The options are those of its client.
+func NewProxy(w io.Writer, program string, o client.Options) *Proxy {
 	p := &Proxy{w: NewWriter(w)}
+	if o.Shuns == 0 {
+		o.Shuns = client.UsualShuns
+	}
 	p.write(&recordpb.Record{At: unixMs(time.Now()), What: &recordpb.Record_ProxyStart{ProxyStart: &recordpb.ProxyStart{
-		Format: Format, Program: program, Proxy: proxy, Zone: zone}}})
+		Format: Format, Program: program, Proxy: o.Proxy, Zone: o.Zone, Ejects: int32(o.Ejects),
+		Shuns: o.Shuns.Seconds() * 1000, Repeats: o.Repeats}}})
 	return p
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -1,12 +1,14 @@
 // Package record writes and reads recordings: every input of a steward with its time, and what it published.
 //
-// Format 2, which is written: the eight bytes "BSAIL\x00\x00\x02", then blocks. A block is the four bytes
+// Format 2: the eight bytes "BSAIL\x00\x00\x02", then blocks. A block is the four bytes
 // 0xB5 'B' 'L' kind, the length of what follows after compression and its number of records (uint32 each), the
 // time of its first record (float64), the CRC-32C of the compressed bytes, and those: Zstandard over records, each
 // as its length (varint) and its protobuf bytes. All figures are little endian. A recording that was ended cleanly
 // closes with a block of kind 'I', a recordpb.Index, and the offset of that block (uint64) with "BSAILEND". What is
 // torn or damaged is a block, so a reader can name it and go on behind it.
 //
+// Format 3 has the same blocks; from it on a proxy's start tells when it shuns hosts and what it repeats.
+//
 // Format 1, still read, has no first bytes and no blocks: each record is its length, its CRC-32C and its bytes.
 package record
 
@@ -25,8 +27,8 @@
 	"barleysail/internal/record/recordpb"
 )
 
-// Format is the number of the format written.
-const Format = 2
+// Format is the number of the format written, as recordings' starts tell it.
+const Format = 3
 
 const (
 	magic     = "BSAIL\x00\x00\x02"
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -268,7 +268,7 @@
 	if err != nil {
 		return fmt.Errorf("starting a recording: %w", err)
 	}
-	p := record.NewProxy(f, d.version, set.Name, set.Zone)
+	p := record.NewProxy(f, d.version, set.Options())
 	d.recordings = append(d.recordings, func() error { return errors.Join(p.Close(), f.Close()) })
 	set.Transacted, set.Applied = p.Ended, p.Applied
 	return nil
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -30,7 +30,7 @@
 	if len(j.faults) > 0 {
 		v = append(v, Verdict{"deltas fit their base", false, -1, j.faults[0]})
 	}
-	return v
+	return worse(j.folded, v)
 }
 
 func (j *Journal) byProxy() map[string][]answer {
@@ -57,34 +57,44 @@
 				}
 			}
 			for _, class := range a.empty {
-				if a.status == 0 || !j.warm(f, a.at, until) {
+				if a.status == 0 || !j.warm(f, a.at) {
 					delete(since, class)
 					continue
 				}
 				if _, ok := since[class]; !ok {
 					since[class] = a.at
 				}
-				if d := until - since[class]; d > worst {
+				last := j.warmUntil(f, a.at, until)
+				if d := last - since[class]; d > worst {
 					worst, seen = d, fmt.Sprintf("%s had no line for %s for %.0f ms of %.0f", proxy, class, d, f.Bare)
 				}
+				if last < until {
+					delete(since, class)
+				}
 			}
 		}
 	}
 	return verdict("no joined proxy without a host", worst/f.Bare, "%s", seen)
 }
 
-// warm tells whether a warm host is listed ready over a stretch.
-func (j *Journal) warm(f Figures, from, to float64) bool {
-	for _, t := range []float64{from, to} {
-		found := false
-		for _, h := range j.at(t) {
-			found = found || h.Ready && (h.Started == 0 || t >= h.Started+f.Cold)
+// warm tells whether a warm host is listed ready at a time.
+func (j *Journal) warm(f Figures, at float64) bool {
+	for _, h := range j.at(at) {
+		if h.Ready && (h.Started == 0 || at >= h.Started+f.Cold) {
+			return true
 		}
-		if !found {
-			return false
+	}
+	return false
+}
+
+// warmUntil gives the time until which a warm host is listed ready from one at which one is.
+func (j *Journal) warmUntil(f Figures, from, to float64) float64 {
+	for i := sort.Search(len(j.lists), func(i int) bool { return j.lists[i].at > from }); i < len(j.lists) && j.lists[i].at < to; i++ {
+		if !j.warm(f, j.lists[i].at) {
+			return j.lists[i].at
 		}
 	}
-	return true
+	return to
 }
 
 // twice: transactions that must not run twice, and did.
@@ -135,15 +145,17 @@
 
 // drains: how long after the list said that a host drains or is gone a joined proxy still sent there.
 func (j *Journal) drains(f Figures) Verdict {
-	stays, told := j.stays(), j.told(func(h Listed, ok bool) bool { return !ok || !h.Ready })
-	worst, seen, n := 0.0, "", 0
+	stays, told := j.stays(), j.told(out)
+	worst, seen, n := 0.0, "", j.after
 	for _, a := range j.arrivals {
 		since, out := inForce(told[a.host], a.at)
 		stay, ok := joined(stays[a.proxy], a.at)
 		if !out || !ok {
 			continue
 		}
-		n++
+		if a.at >= j.from {
+			n++
+		}
 		if late := a.at - math.Max(since, stay); late > worst {
 			worst, seen = late, fmt.Sprintf("; the last by %s at %s, %.0f ms of %.0f", a.proxy, a.host, late, f.Grace)
 		}
@@ -162,13 +174,25 @@
 			hosts[host] = true
 		}
 	}
+	for host := range j.outSince {
+		hosts[host] = true
+	}
+	for _, a := range j.arrivals { // one that no list has or had is out from the first
+		hosts[a.host] = true
+	}
 	spans := map[string][]span{}
 	for host := range hosts {
 		open := false
-		for _, l := range j.lists {
+		for i, l := range j.lists {
 			h, ok := l.hosts[host]
 			if now := says(h, ok); now && !open {
-				spans[host] = append(spans[host], span{l.at, math.Inf(1)})
+				from := l.at
+				if at, ok := j.outSince[host]; i == 0 && ok {
+					from = at
+				} else if i == 0 && j.outSince != nil {
+					from = j.begun
+				}
+				spans[host] = append(spans[host], span{from, math.Inf(1)})
 			} else if !now && open {
 				spans[host][len(spans[host])-1].to = l.at
 			}
@@ -194,7 +218,7 @@
 	worst, seen := 0.0, "no host started"
 	for i, l := range j.lists {
 		for host, h := range l.hosts {
-			if h.Started == 0 || i > 0 && j.lists[i-1].hosts[host].Started == h.Started {
+			if h.Started == 0 || h.Started+f.Cold < j.from || i > 0 && j.lists[i-1].hosts[host].Started == h.Started {
 				continue
 			}
 			if used := j.started(f, host, h.Started, l.at); used >= worst {
@@ -252,20 +276,14 @@
 // ever have waited than the longest stretch holds.
 func (j *Journal) queue(f Figures) Verdict {
 	worst, seen := 0.0, "nothing was sent"
-	sent, last := map[string][]float64{}, map[string]float64{}
-	stretch := map[string]float64{}
+	sent := map[string][]float64{}
+	stretch, last := j.stretches(f, nil)
 	stays := j.stays()
 	for _, a := range j.answers {
 		if a.lines == 0 {
 			continue
 		}
-		cost := float64(a.lines) + f.Head + 1
-		pause := 2 * cost / f.LinesPerS * 1000
-		if a.at-last[a.steward] > math.Max(pause, 20) {
-			stretch[a.steward] = 0
-		}
-		stretch[a.steward] += cost
-		last[a.steward] = a.at
+		extend(f, a, stretch, last)
 		if used := stretch[a.steward] / f.MostWaiting; used > worst {
 			worst, seen = used, fmt.Sprintf("%.0f lines in one stretch, %.0f may wait", stretch[a.steward], f.MostWaiting)
 		}
--- a/internal/rules/journal.go
+++ b/internal/rules/journal.go
@@ -63,6 +63,14 @@
 	capacity map[string]float64 // ms of work a ms that a warm host does
 	faults   []string
 	lean     bool
+
+	// What Fold left of what it dropped.
+	folded            []Verdict
+	from              float64            // the time of the last fold
+	after             int                // transactions that came after the word
+	begun             float64            // the time of the first list
+	outSince          map[string]float64 // of hosts that the first list has not, or has as draining
+	stretch, lastSent map[string]float64 // by steward
 }
 
 // NewJournal makes an empty one.
--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -57,23 +57,28 @@
 	streams map[net.Conn]bool
 }
 
-// NewForwarder makes one; Run starts it.
-func NewForwarder(set ForwarderSettings) (*Forwarder, error) {
-	f := &Forwarder{set: set, streams: map[net.Conn]bool{},
-		hosts: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 4096}}}
-	var repeats []string
-	rate := 0.0
+// Options are those of the client that a forwarder is built on.
+func (set ForwarderSettings) Options() client.Options {
+	o := client.Options{Stewards: set.Stewards, Proxy: set.Name, Zone: set.Zone, Standing: set.Standing, Wait: set.Wait,
+		Period: set.Period, Ejects: set.Ejects}
 	for _, t := range set.Traffic {
-		rate += t.Rate
+		o.Rate += t.Rate
 		if t.Repeats {
-			repeats = append(repeats, t.Class)
+			o.Repeats = append(o.Repeats, t.Class)
 		}
 	}
+	return o
+}
+
+// NewForwarder makes one; Run starts it.
+func NewForwarder(set ForwarderSettings) (*Forwarder, error) {
+	f := &Forwarder{set: set, streams: map[net.Conn]bool{},
+		hosts: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 4096}}}
 	steward := &http.Client{Transport: &tap{f, &http.Transport{DialContext: f.dial, MaxIdleConnsPerHost: 4}}}
 	var err error
-	f.Client, err = client.New(client.Options{Stewards: set.Stewards, Proxy: set.Name, Zone: set.Zone, Rate: rate,
-		Standing: set.Standing, HTTP: steward, Wait: set.Wait, Period: set.Period, Ejects: set.Ejects, Repeats: repeats,
-		Log: set.Log, Ended: set.Transacted, Applied: set.Applied})
+	o := set.Options()
+	o.HTTP, o.Log, o.Ended, o.Applied = steward, set.Log, set.Transacted, set.Applied
+	f.Client, err = client.New(o)
 	return f, err
 }
 
--- a/replay/other.go
+++ b/replay/other.go
@@ -59,6 +59,9 @@
 	for _, c := range set.Classes {
 		patience = math.Max(patience, c.Patience)
 	}
+	if err := sc.fitWork(open, patience+5000); err != nil {
+		return nil, err
+	}
 	m, err := merge(open, sc.offsets, patience+5000)
 	if err != nil {
 		return nil, err
@@ -69,6 +72,7 @@
 	e.journal.Lean()
 	e.sampled = sc.from
 	e.dues.Add(sc.from+windowLength, e.sample)
+	e.dues.Add(sc.from+foldEvery, e.fold)
 	for i, c := range set.Classes {
 		e.class[c.Name] = i
 		e.out.Classes = append(e.out.Classes, c.Name)
@@ -76,11 +80,15 @@
 	for name, by := range sc.offsets {
 		e.out.Offsets[sc.proxies[name].Proxy] = by
 	}
+	w := &worked{m: m, lines: response.NewLines(sc.model)}
 	for {
-		x, err := m.next()
+		x, err := w.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if err != nil {
+			return nil, err
+		}
 		e.until(x.at)
 		if err := e.take(x); err != nil {
 			return nil, err
@@ -149,6 +157,13 @@
 	sums       steward.Sums
 	since      float64
 	number     int64
+
+	going going // in the record
+
+	ejects  int     // failures in a row after which it shuns a host
+	shuns   float64 // ms
+	shunned map[string]shun
+	repeats map[string]bool // classes that may run twice
 }
 
 // until does all that is due by a time.
@@ -171,7 +186,7 @@
 }
 
 // take plays a recorded item.
-func (e *engine) take(x item) error {
+func (e *engine) take(x *workedItem) error {
 	l := e.lives[x.source]
 	switch r := x.record.What.(type) {
 	case *recordpb.Record_Start:
@@ -183,7 +198,16 @@
 		e.lives[x.source] = l
 		e.dues.Add(e.scan.ends[x.source]+0.001, l.end)
 	case *recordpb.Record_Transaction:
-		e.transaction(e.scan.proxies[x.source].Proxy, e.scan.proxies[x.source].Zone, r.Transaction)
+		e.transaction(e.scan.proxies[x.source].Proxy, e.scan.proxies[x.source].Zone, r.Transaction, x.works)
+		return nil
+	case *recordpb.Record_Applied:
+		s := e.scan.proxies[x.source]
+		e.proxy(s.Proxy, s.Zone).going.applied(r.Applied)
+		return nil
+	case *recordpb.Record_Published:
+		if p := e.proxies[r.Published.Proxy]; p != nil {
+			p.going.published(r.Published)
+		}
 		return nil
 	}
 	if l == nil || l.over {
@@ -224,13 +248,34 @@
 func (e *engine) proxy(name, zone string) *proxy {
 	p := e.proxies[name]
 	if p == nil {
-		p = &proxy{name: name, zone: zone, tables: map[string]steward.Table{}, since: e.now}
+		p = &proxy{name: name, zone: zone, tables: map[string]steward.Table{}, since: e.now, shunned: map[string]shun{},
+			repeats: map[string]bool{}, going: going{classes: map[string]*goingBy{}}}
 		p.begin()
+		e.ways(p)
 		e.proxies[name] = p
 	}
 	return p
 }
 
+// ways are how a proxy shuns and repeats, by its own recording. Before format 3 that was not told: classes may run
+// twice then unless the setting says otherwise.
+func (e *engine) ways(p *proxy) {
+	for _, s := range e.scan.proxies {
+		if s.Proxy != p.name {
+			continue
+		}
+		p.ejects, p.shuns = int(s.Ejects), s.Shuns
+		for _, class := range s.Repeats {
+			p.repeats[class] = true
+		}
+		for _, k := range e.set.Classes {
+			if s.Format < 3 && !e.set.Figures.Once[k.Name] {
+				p.repeats[k.Name] = true
+			}
+		}
+	}
+}
+
 func (p *proxy) begin() {
 	p.sums = steward.Sums{Sender: "replay", Hosts: map[string]steward.HostSums{}, Usage: map[string]steward.ClassUsage{}}
 }
@@ -276,10 +321,6 @@
 			v.Mean /= float64(good)
 		}
 		v.Span = span
-		if e.scan.loads {
-			util, queue := e.hosts.Load(host, e.now)
-			v.Load = decide.Load{Util: util, Rate: -1, Queue: queue}
-		}
 		u.Hosts[host] = v
 	}
 	for class, v := range u.Usage {
@@ -411,6 +452,14 @@
 	p.ask(0)
 }
 
+// foldEvery ms the rules are reckoned over what the journal holds, so that it stays as small as a minute of the day.
+const foldEvery = 60000.0
+
+func (e *engine) fold() {
+	e.journal.Fold(e.set.Figures, e.now)
+	e.after(foldEvery, e.fold)
+}
+
 func (e *engine) finish() {
 	e.out.Tries, e.out.Beyond = e.hosts.Tries, e.hosts.Beyond
 	e.out.Verdicts = e.journal.Check(e.set.Figures, e.now)
--- a/replay/response/hosts.go
+++ b/replay/response/hosts.go
@@ -6,17 +6,14 @@
 type Hosts struct {
 	model  *Model
 	free   map[string][]float64 // when each core is free
-	began  map[string]float64   // of the present second of load, for reports
-	busy   map[string]float64   // work taken on in it
-	before map[string]float64
+	begins map[string][]float64 // of the tries that may wait yet, in order
 	Tries  int
 	Beyond int // tries whose answer is extrapolated: nothing was seen of the host in that window
 }
 
 // NewHosts makes hosts with empty queues.
 func NewHosts(m *Model) *Hosts {
-	return &Hosts{model: m, free: map[string][]float64{}, began: map[string]float64{}, busy: map[string]float64{},
-		before: map[string]float64{}}
+	return &Hosts{model: m, free: map[string][]float64{}, begins: map[string][]float64{}}
 }
 
 // Answer tells when a try that reaches a host at a time is answered, and how. work is what the transaction takes
@@ -46,14 +43,18 @@
 			core = i
 		}
 	}
-	takes := h.model.UsualTime(class) * fit.Speed * slow * work
 	begin := math.Max(at, free[core])
-	done = begin + takes
-	if fit.Full > 0 && done-at > fit.Full {
+	if _, then, _ := h.model.at(host, begin); begin > at {
+		slow = then
+	}
+	waiting := h.waiting(host, at)
+	if fit.Full > 0 && len(waiting) >= fit.Full {
 		return at + 1, NeverRan
 	}
+	takes := h.model.UsualTime(class) * fit.Speed * slow * work
+	done = begin + takes
 	free[core] = done
-	h.note(host, at, takes)
+	h.begins[host] = append(waiting, begin)
 	if end, _, _ := h.model.at(host, done); end == dead || end == hung {
 		done, how = at+patience, Failed
 	}
@@ -63,35 +64,23 @@
 	return done, how
 }
 
-// note counts the work taken on in the present second.
-func (h *Hosts) note(host string, at, takes float64) {
-	if at >= h.began[host]+window {
-		h.before[host] = 0
-		if at < h.began[host]+2*window {
-			h.before[host] = h.busy[host]
-		}
-		h.began[host], h.busy[host] = math.Floor(at/window)*window, 0
-	}
-	h.busy[host] += takes
-}
-
 // Load is what a host would report at a time: the busy part of its cores, and how many tries wait.
 func (h *Hosts) Load(host string, at float64) (util, queue float64) {
-	h.note(host, at, 0)
-	fit, behind := h.model.Host(host), 0.0
+	fit := h.model.Host(host)
 	for _, f := range h.free[host] {
 		if f > at {
 			util += 1 / float64(fit.Cores)
-			behind += f - at
 		}
 	}
-	steady := math.Min(1, h.before[host]/window/float64(fit.Cores))
-	usual := 0.0
-	for class := range h.model.usual {
-		usual = math.Max(usual, h.model.UsualTime(class)*fit.Speed)
-	}
-	if usual > 0 {
-		queue = math.Floor(math.Max(0, behind/usual-float64(fit.Cores)))
+	h.begins[host] = h.waiting(host, at)
+	return util, float64(len(h.begins[host]))
+}
+
+// waiting gives when those begin that wait at a time: with first come, first served in the order in which they came.
+func (h *Hosts) waiting(host string, at float64) []float64 {
+	all := h.begins[host]
+	for len(all) > 0 && all[0] <= at {
+		all = all[1:]
 	}
-	return (util + steady) / 2, queue
+	return all
 }
--- a/replay/scan.go
+++ b/replay/scan.go
@@ -88,7 +88,7 @@
 	return nil
 }
 
-// read makes two passes: the clocks and the classes' usual times, then the model of the hosts.
+// read makes the first two passes: the clocks and the classes' usual times, then the hosts' cores and states.
 func read(open Open) (*scan, error) {
 	sc := &scan{lives: map[string]*recordpb.Start{}, proxies: map[string]*recordpb.ProxyStart{}, from: math.Inf(1),
 		ends: map[string]float64{}, offsets: map[string][]Offset{}}
@@ -111,6 +111,10 @@
 					polled[tag] = r.At
 				}
 			}
+		case *recordpb.Record_Listed:
+			for _, h := range x.Listed.Hosts {
+				usual.Stated(h.Address, h.Cores, h.Speed)
+			}
 		case *recordpb.Record_Applied:
 			applied[name][x.Applied] = r.At
 		case *recordpb.Record_Transaction:
@@ -229,6 +233,31 @@
 	return err
 }
 
+// fitWork makes the pass that tells hosts' work from their waiting, in the order of the day.
+func (sc *scan) fitWork(open Open, patience float64) error {
+	m, err := merge(open, sc.offsets, patience)
+	if err != nil {
+		return err
+	}
+	w := &worked{m: m, lines: response.NewLines(sc.model)}
+	for {
+		x, err := w.next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if t := x.record.GetTransaction(); t != nil {
+			for k, r := range t.Tries {
+				sc.model.Worked(t.Class, r.Host, r.At, r.Took, x.works[k].begin, x.works[k].service, response.Outcome(r.Result))
+			}
+		}
+	}
+	sc.model.FitWork()
+	return nil
+}
+
 // merged gives the records of all sources in order of time, on the stewards' clock. Transactions come by the time
 // at which they came, which is before the time of their record: they wait in a buffer as long as a client's
 // patience lasts.
--- a/replay/transactions.go
+++ b/replay/transactions.go
@@ -20,12 +20,14 @@
 	due      float64
 	id       string
 	tried    []string
+	old      *goingBy        // what the proxy went by in the record, nil: not known
+	recorded []*recordpb.Try // the tries of the record
 	tries    int
 	ran      int // tries that ran, or may have
 }
 
 // transaction plays one at the time at which it came.
-func (e *engine) transaction(name, zone string, t *recordpb.Transaction) {
+func (e *engine) transaction(name, zone string, t *recordpb.Transaction, works []tryWork) {
 	k, ok := e.class[t.Class]
 	if !ok {
 		return
@@ -43,7 +45,7 @@
 	u.Came++
 	p.sums.Usage[t.Class] = u
 	e.counter++
-	x := &carried{class: t.Class, k: k, came: e.now, patience: c.Patience, due: c.Due, work: e.work(t),
+	x := &carried{class: t.Class, k: k, came: e.now, patience: c.Patience, due: c.Due, work: e.work(t, works),
 		id: fmt.Sprintf("%s-%d", name, e.counter)}
 	table := p.tables[t.Class]
 	if !table.Ordered { // it went by hosts of its own, which no steward ordered
@@ -51,18 +53,33 @@
 		w.Replayed[k] += earned
 		return
 	}
-	if table.Share < 1 && e.chance() >= table.Share {
+	x.old, x.recorded = p.going.by(t.Class), t.Tries
+	if !e.letIn(table.Share, x.old, t.LetIn) {
 		return
 	}
 	x.tries = table.Tries
 	e.try(p, x)
 }
 
+// was gives the host of the next try in the record, as long as the tries before it were the same; "": there is none.
+func (x *carried) was() string {
+	n := len(x.tried)
+	if n >= len(x.recorded) {
+		return ""
+	}
+	for i, host := range x.tried {
+		if x.recorded[i].Host != host {
+			return ""
+		}
+	}
+	return x.recorded[n].Host
+}
+
 // work is what a transaction took against its class's usual time, as far as its record tells.
-func (e *engine) work(t *recordpb.Transaction) float64 {
-	for _, x := range t.Tries {
+func (e *engine) work(t *recordpb.Transaction, works []tryWork) float64 {
+	for k, x := range t.Tries {
 		if response.Outcome(x.Result) == response.Fulfilled {
-			return e.scan.model.Work(t.Class, x.Host, x.At, x.Took)
+			return e.scan.model.Work(t.Class, x.Host, works[k].begin, works[k].service)
 		}
 	}
 	return 1
@@ -80,7 +97,12 @@
 
 // try makes a try by the proxy's present table, at a host that was not tried.
 func (e *engine) try(p *proxy, x *carried) {
-	host, ok := e.pick(p.tables[x.class], x.tried)
+	host, ok := e.draw(p.tables[x.class], x.old, x.was(), func(host string) bool {
+		return slices.Contains(x.tried, host) || e.now < p.shunned[host].until
+	})
+	if !ok {
+		host, ok = e.pick(p.tables[x.class], func(host string) bool { return slices.Contains(x.tried, host) })
+	}
 	if !ok {
 		e.lost(p, x)
 		return
@@ -109,29 +131,56 @@
 	}
 	if v.Tries++; how == response.Fulfilled {
 		v.Mean += e.now - began // a sum until it is reported
+		if e.scan.loads {
+			util, queue := e.hosts.Load(host, e.now)
+			v.Load = decide.Load{Util: util, Rate: -1, Queue: queue} // the newest is reported
+		}
 	} else {
 		v.Failed++
 	}
 	p.sums.Hosts[host] = v
+	p.met(host, how, e.now)
 	switch {
 	case how == response.Fulfilled:
 		if e.now-x.came <= x.due {
 			e.window(x.came).Replayed[x.k] += e.set.Classes[x.k].Earnings
 		}
-	case e.now < x.came+x.patience && again(x.tries, len(x.tried), how):
+	case e.now < x.came+x.patience && again(x.tries, len(x.tried), how, p.repeats[x.class]):
 		e.try(p, x)
 	default:
 		e.lost(p, x)
 	}
 }
 
+// met has a proxy shun a host that failed it so many times in a row, as package client does.
+func (p *proxy) met(host string, how response.Outcome, now float64) {
+	if p.ejects == 0 {
+		return
+	}
+	if how == response.Fulfilled {
+		delete(p.shunned, host)
+		return
+	}
+	s := p.shunned[host]
+	if s.failures++; s.failures >= p.ejects {
+		s = shun{until: now + p.shuns}
+	}
+	p.shunned[host] = s
+}
+
+// shun is what a proxy remembers of a host that failed it.
+type shun struct {
+	failures int // in a row
+	until    float64
+}
+
 // again tells whether a proxy tries again after so many tries: as its table says.
-func again(tries, made int, last response.Outcome) bool {
+func again(tries, made int, last response.Outcome, repeats bool) bool {
 	most := tries
 	if tries > 1 {
 		most = tries - 1
 	}
-	return made <= most && (last == response.NeverRan || tries > 1)
+	return made <= most && (last == response.NeverRan || tries > 1 && repeats)
 }
 
 func (e *engine) lost(p *proxy, x *carried) {
@@ -141,17 +190,17 @@
 	}
 }
 
-// pick draws a host by weight, none that was tried.
-func (e *engine) pick(t steward.Table, tried []string) (string, bool) {
+// pick draws a host by weight, none that is out.
+func (e *engine) pick(t steward.Table, out func(host string) bool) (string, bool) {
 	total := 0.0
 	for i, host := range t.Hosts {
-		if !slices.Contains(tried, host) {
+		if !out(host) {
 			total += t.Weights[i]
 		}
 	}
 	at, last, found := e.chance()*total, "", false
 	for i, host := range t.Hosts {
-		if slices.Contains(tried, host) {
+		if out(host) {
 			continue
 		}
 		if last, found = host, true; at < t.Weights[i] {
--- /dev/null
+++ b/solver/orders.go
@@ -0,0 +1,76 @@
+package solver
+
+// Renewal tells which zones' proxies are worth other tables.
+type Renewal struct {
+	Zones    []string // whose proxies get the best tables; the others keep theirs
+	Messages int
+	Result   float64 // with the messages paid for
+	Before   float64 // of the tables as they stand
+}
+
+// zonesTried together; of more zones the choice is made one by one.
+const zonesTried = 8
+
+// Renew weighs a solution against the tables that stand: a message to each proxy of a zone, at the goal's price of
+// orders, is paid for only where the result gains more by it. Up to eight zones all choices are tried. Levels are not
+// priced: every proxy is told of those in any case.
+func (p *Problem) Renew(standing Tables, s *Solution) Renewal {
+	best := p.renewal(standing, s, make([]bool, len(p.Zones)))
+	best.Before = p.Earn(standing)
+	n := len(p.Zones)
+	try := func(change []bool) bool {
+		r := p.renewal(standing, s, change)
+		r.Before = best.Before
+		if r.Result > best.Result+1e-12 {
+			best = r
+			return true
+		}
+		return false
+	}
+	if n <= zonesTried {
+		for set := 1; set < 1<<n; set++ {
+			change := make([]bool, n)
+			for z := range change {
+				change[z] = set>>z&1 == 1
+			}
+			try(change)
+		}
+		return best
+	}
+	change := make([]bool, n)
+	for z := range change {
+		change[z] = true
+	}
+	try(change)
+	for z := range change {
+		change[z] = false
+		if !try(change) {
+			change[z] = true
+		}
+	}
+	return best
+}
+
+// renewal is the one that changes the tables of some zones.
+func (p *Problem) renewal(standing Tables, s *Solution, change []bool) Renewal {
+	t, r := Tables{Weights: map[string]map[string]map[string]float64{}, Share: standing.Share}, Renewal{}
+	for z, zone := range p.Zones {
+		if change[z] {
+			r.Zones = append(r.Zones, zone)
+			r.Messages += p.Proxies[zone]
+			t.Share = s.Share
+		}
+	}
+	for _, k := range p.Classes {
+		by := map[string]map[string]float64{}
+		for z, zone := range p.Zones {
+			by[zone] = standing.Weights[k.Name][zone]
+			if change[z] {
+				by[zone] = s.Weights[k.Name][zone]
+			}
+		}
+		t.Weights[k.Name] = by
+	}
+	r.Result = p.Earn(t) - p.Goal.Order*float64(r.Messages)
+	return r
+}
--- a/solver/plan.go
+++ b/solver/plan.go
@@ -49,6 +49,56 @@
 	return &q, nil
 }
 
+// After gives the problem as it is so many ms later, with cold hosts warmer by then.
+func (p *Problem) After(ms float64) *Problem {
+	q := *p
+	q.Hosts = slices.Clone(p.Hosts)
+	for i := range q.Hosts {
+		h := &q.Hosts[i]
+		if h.WarmIn <= 0 || h.Warm >= 1 {
+			continue
+		}
+		part := math.Min(ms/h.WarmIn, 1)
+		h.Warm += (1 - h.Warm) * part
+		h.WarmIn -= h.WarmIn * part
+	}
+	return &q
+}
+
+// Stage of warming: what is earned so many ms on.
+type Stage struct {
+	At       float64
+	Solution *Solution
+}
+
+// warmingStages of a plan, evenly over the longest warming.
+const warmingStages = 4
+
+// Warming solves along the hosts' warming, from now until the last of them is warm, each stage from the one before;
+// a single stage where none is cold.
+func (p *Problem) Warming() ([]Stage, error) {
+	longest := 0.0
+	for _, h := range p.Hosts {
+		if h.Warm < 1 && !h.Draining {
+			longest = math.Max(longest, h.WarmIn)
+		}
+	}
+	var all []Stage
+	var last *Solution
+	for i := range warmingStages + 1 {
+		at := longest * float64(i) / warmingStages
+		s, err := p.After(at).SolveFrom(last)
+		if err != nil {
+			return nil, err
+		}
+		all, last = append(all, Stage{at, s}), s
+		if longest == 0 {
+			break
+		}
+	}
+	return all, nil
+}
+
 // Pace is what a change of the tables costs: each line goes to every proxy over the steward's channel.
 type Pace struct {
 	Proxies   int
@@ -87,6 +137,14 @@
 	var steps []Step
 	for len(left) > 0 {
 		step := Step{At: at}
+		if at > 0 { // cold hosts have warmed since the step before
+			now = now.After(at - steps[len(steps)-1].At)
+			if s, err := now.Solve(); err != nil {
+				return nil, err
+			} else if s.Result > result {
+				result = s.Result
+			}
+		}
 		for len(left) > 0 {
 			name, s, err := now.cheapest(left)
 			if err != nil {
--- a/solver/problem.go
+++ b/solver/problem.go
@@ -10,6 +10,7 @@
 //	           sum over c, z of w[c,g] D[c,z] y[c,z,g] <= C[g]   each group works within its cap
 //	           t <= sum over z, g of D y / sum over z of D       t is the share of the worst class
 //	           sum over z, g of D y >= least[c] x sum of D       stated least shares
+//	with a price of connections: less that x proxies[z] x hosts of g, for each z and g with any y above 0
 //	with doubt: less the loss L of Gamma hosts at their least, L = Gamma theta + sum n[g] pi[g], with
 //	           load of a host of g - theta - pi[g] <= its least capacity
 //
@@ -40,6 +41,7 @@
 	Cores    float64
 	Speed    float64
 	Warm     float64            // the part of its capacity that it has now, 0 to 1
+	WarmIn   float64            // ms until it has all of it, growing evenly; 0: it stays as it is
 	Draining bool               // takes nothing new
 	Most     float64            // of its capacity that may be used, 0 to 1; 0: all that the cap leaves
 	Factor   map[string]float64 // by class: its work here against that at other hosts of the speed; absent: 1
@@ -49,6 +51,8 @@
 type Goal struct {
 	Whole, WorstClass float64
 	Cross             float64 // of each transaction that crosses zones once
+	Connect           float64 // of each connection that a proxy keeps to a host
+	Order             float64 // of each message that gives a proxy another table
 }
 
 // Problem is a fleet with its demand, in transactions a second by class and zone of the proxies.
@@ -57,6 +61,7 @@
 	Zones   []string
 	Hosts   []Host
 	Demand  map[string]map[string]float64
+	Proxies map[string]int // by zone; for the prices of connections and orders
 	Goal    Goal
 	// Deadline d of the cap in ms, as a multiple of the mean time a transaction takes; 0: no margin below capacity.
 	// The module starts at 3.2 (docs/design.md).
@@ -122,7 +127,7 @@
 		if !zones[h.Zone] {
 			return &Fault{fmt.Sprintf("hosts[%d].zone", i), fmt.Sprintf("%q is not among the zones", h.Zone)}
 		}
-		for _, x := range []float64{h.Cores, h.Speed, h.Warm, h.Most} {
+		for _, x := range []float64{h.Cores, h.Speed, h.Warm, h.Most, h.WarmIn} {
 			if !(x >= 0) || math.IsInf(x, 0) {
 				return &Fault{fmt.Sprintf("hosts[%d]", i), h.Name + " has a figure below 0, or none"}
 			}
@@ -136,6 +141,14 @@
 	if !(p.Doubt.Spread >= 0 && p.Doubt.Spread <= 1) || p.Doubt.Worst < 0 {
 		return &Fault{"doubt", "a spread from 0 to 1 and a number of hosts are needed"}
 	}
+	for zone, n := range p.Proxies {
+		if !zones[zone] || n < 0 {
+			return &Fault{"proxies", fmt.Sprintf("%d in zone %q", n, zone)}
+		}
+	}
+	if g := p.Goal; !(g.Connect >= 0) || math.IsInf(g.Connect, 0) || !(g.Order >= 0) || math.IsInf(g.Order, 0) {
+		return &Fault{"goal", "prices from 0 are needed"}
+	}
 	for class, by := range p.Demand {
 		for zone, d := range by {
 			if !classes[class] || !zones[zone] || !(d >= 0) || math.IsInf(d, 0) {
@@ -207,6 +220,9 @@
 			}
 			key += fmt.Sprintf("/%g", g.factor[c])
 		}
+		if p.Goal.Connect > 0 && len(p.Hosts) <= connectsSingly {
+			key += "/" + h.Name // which hosts are connected to is a question then
+		}
 		at, ok := by[key]
 		if !ok {
 			at = len(all)
--- a/solver/solve.go
+++ b/solver/solve.go
@@ -23,9 +23,14 @@
 	Load     map[string]float64                       // of each host's cap that is used
 	Price    map[string]float64                       // of each host's cap: earnings a second that one more core like its own would bring
 	Crossing float64                                  // transactions a second that cross zones
-	AtRisk   float64                                  // with doubt: earnings a second lost when the worst comes
-	basis    []string                                 // names of the programme's variables that are above 0
-	Unmet    []string                                 // least shares that the caps do not leave room for, with what they get
+	// Connections that the proxies keep, where they have a price.
+	Connections int
+	Bound       float64     // what no answer's result is above, where connections have a price
+	AtRisk      float64     // with doubt: earnings a second lost when the worst comes
+	basis       []string    // names of the programme's variables that are above 0
+	linear      float64     // the result but for connections
+	used        [][]float64 // part of each group's cap that is used from each zone
+	Unmet       []string    // least shares that the caps do not leave room for, with what they get
 }
 
 // penalty of a least share that is not met, against a result of about 1: large enough to be paid only where there is
@@ -42,6 +47,7 @@
 type programme struct {
 	p       *Problem
 	groups  []group
+	ways    ways
 	columns []column
 	rows    [][]float64 // by row, over columns and t
 	right   []float64
@@ -65,7 +71,15 @@
 	if err := p.check(); err != nil {
 		return nil, err
 	}
-	m := p.programme()
+	if p.Goal.Connect > 0 {
+		return p.connected(last)
+	}
+	return p.solve(last, nil)
+}
+
+// solve does it at given prices of ways between zones and groups, none where nil.
+func (p *Problem) solve(last *Solution, ways ways) (*Solution, error) {
+	m := p.programme(ways)
 	y, dual, err := m.run(last)
 	if err != nil {
 		return nil, err
@@ -92,8 +106,8 @@
 	return fmt.Sprintf("slack %d", j-n)
 }
 
-func (p *Problem) programme() *programme {
-	m := &programme{p: p, groups: p.groups()}
+func (p *Problem) programme(ways ways) *programme {
+	m := &programme{p: p, groups: p.groups(), ways: ways}
 	for c, k := range p.Classes {
 		for z := range p.Zones {
 			m.asked, m.total = m.asked+k.Earnings*p.demand(c, z), m.total+p.demand(c, z)
@@ -102,7 +116,7 @@
 	for c, k := range p.Classes {
 		for z := range p.Zones {
 			for g := range m.groups {
-				if p.demand(c, z) > 0 && (!k.Local || m.groups[g].zone == z) {
+				if p.demand(c, z) > 0 && (!k.Local || m.groups[g].zone == z) && !m.ways.closed(z, g) {
 					m.columns = append(m.columns, column{c, z, g})
 				}
 			}
@@ -129,7 +143,7 @@
 		m.caps = append(m.caps, r)
 		for i, x := range m.columns {
 			if x.g == g {
-				m.rows[r][i] = p.Classes[x.c].Work / 1000 * m.groups[g].factor[x.c] * p.demand(x.c, x.z) / m.groups[g].cap
+				m.rows[r][i] = m.usage(x)
 			}
 		}
 	}
@@ -152,6 +166,12 @@
 	return m
 }
 
+// usage is the part of its group's cap that a variable takes when it is 1.
+func (m *programme) usage(x column) float64 {
+	g := &m.groups[x.g]
+	return m.p.Classes[x.c].Work / 1000 * g.factor[x.c] * m.p.demand(x.c, x.z) / g.cap
+}
+
 func (m *programme) row(n int, right float64) int {
 	m.rows, m.right = append(m.rows, make([]float64, n)), append(m.right, right)
 	return len(m.rows) - 1
@@ -170,6 +190,9 @@
 		if m.groups[x.g].zone != x.z {
 			gain -= goal.Cross*d/m.total + nearer*math.Abs(gain)
 		}
+		if m.ways != nil {
+			gain -= m.ways[x.z][x.g].price * m.usage(x)
+		}
 		m.gain = append(m.gain, gain)
 	}
 	m.gain = append(m.gain, goal.WorstClass)
@@ -432,6 +455,7 @@
 		}
 	}
 	s.Crossing = cross
+	m.connections(s, y)
 	if p.doubted() {
 		s.AtRisk = m.unit * float64(p.Doubt.Worst) * y[m.t+1]
 		for i, g := range m.groups {
@@ -463,7 +487,8 @@
 	if total > 0 {
 		result -= p.Goal.Cross * s.Crossing / total
 	}
-	return result
+	s.linear = result
+	return result - p.Goal.Connect*float64(s.Connections)
 }
 
 // spread gives a part of a demand to the hosts of a group by their caps.
--- a/steward/channel.go
+++ b/steward/channel.go
@@ -12,6 +12,7 @@
 // message that later orders join.
 type channel struct {
 	pace, head    float64 // lines a ms
+	price         float64 // of the pace, used all the time, as a part of the result
 	most          int     // messages to a proxy within over; 0: no limit
 	over          float64
 	urgent, plain []*message
@@ -31,7 +32,7 @@
 }
 
 func newChannel(c decide.Channel) channel {
-	return channel{pace: c.LinesPerS / 1000, head: c.Head, most: c.MessagesMost, over: c.MessagesOver,
+	return channel{pace: c.LinesPerS / 1000, head: c.Head, price: c.Price, most: c.MessagesMost, over: c.MessagesOver,
 		until: math.Inf(-1)}
 }
 
--- a/steward/solved.go
+++ b/steward/solved.go
@@ -64,7 +64,7 @@
 	}
 	fresh := s.byCaps(p)
 	now, then := p.Earn(s.shared(p, s.weights())), p.Earn(s.shared(p, fresh))
-	if then-now < v.least {
+	if then-now < math.Max(v.least, s.orders(fresh)) {
 		return
 	}
 	s.out.Log(fmt.Sprintf("solved weights renewed: result %.4f to %.4f", now, then))
@@ -84,11 +84,29 @@
 	}
 }
 
+// orders is what telling other weights costs of the result until they may be told anew: lines for all joined proxies,
+// at the channel's price for its usual pace.
+func (s *Steward) orders(fresh map[string]float64) float64 {
+	changed := 0
+	for host, w := range fresh {
+		if old := s.weight(s.list.entries[host]); math.Abs(w-old) > renewedPart*old {
+			changed++
+		}
+	}
+	lines := float64(len(s.members.byName)) * (float64(changed) + s.channel.head)
+	return s.channel.price * lines / math.Max(s.channel.pace*s.solved.every, 1e-9)
+}
+
 // problem is the fleet as listed, with the demand that the proxies lately told. Without any there is none, nor with
 // a host that tells no cores, which it names.
 func (s *Steward) problem() (p *solver.Problem, lacks string) {
 	p = &solver.Problem{Zones: s.fleet.Zones, Demand: map[string]map[string]float64{}, Goal: solver.Goal{Whole: 1},
-		Deadline: deadlineMeans}
+		Deadline: deadlineMeans, Proxies: map[string]int{}}
+	for _, m := range s.members.byIndex {
+		if m != nil {
+			p.Proxies[s.fleet.Zones[m.zone]]++
+		}
+	}
 	for _, host := range slices.Sorted(maps.Keys(s.list.entries)) {
 		e := s.list.entries[host]
 		if e.Phase != decide.Ready {
--- a/steward/solved_test.go
+++ b/steward/solved_test.go
@@ -86,3 +86,19 @@
 		t.Errorf("switched off:\n%s", off.trace.String())
 	}
 }
+
+// Where the channel is dear a renewal that gains less than its lines cost is not told.
+func TestSolvedWeightsAtAPrice(t *testing.T) {
+	for _, dear := range []bool{false, true} {
+		d, _ := uneven(t, true)
+		n := int64(0)
+		d.quiet = true
+		if dear {
+			d.channel.price = 2000 // two messages of ten lines in five seconds at this price cost more than all
+		}
+		d.work(30, 22, &n)
+		if told := strings.Contains(d.trace.String(), "solved weights renewed"); told == dear {
+			t.Errorf("dear %v, told %v:\n%s", dear, told, d.trace.String())
+		}
+	}
+}
