--- a/solver/solve.go
+++ b/solver/solve.go
@@ -275,6 +275,9 @@
 	for j, g := range m.gain {
 		cost[j] = -g
 	}
+	if last == nil && !m.p.doubted() {
+		last = m.greedy()
+	}
 	var x []float64
 	err = errors.New("no earlier answer")
 	if begin := m.begin(last, a); begin != nil {
