Operators' orders beside the list: refused where a rule would break, or stepwise

Operators could only edit the list. Package operator keeps what they set apart from it: drain, maintenance, weights, added hosts, each with an end if wanted. The last warm host of the fleet (or of a zone that a class may not leave) and a cold host's full weight are refused with the reason or wait for their turn; a zone goes host by host. The module tells why a weight is what it is (Explain, read only). Orders are recorded and replayed.

HTTP: hosts, proxies, what a proxy holds, events with followers, orders. Command line: get, describe, drain, maint, ready, weight, events, diff; table, json or csv.

--- a/cmd/barleysail/main.go
+++ b/cmd/barleysail/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 
@@ -14,11 +15,16 @@
 
 func main() {
 	root := &cobra.Command{Use: "barleysail", Short: "A control service that publishes weighted tables to plain proxies",
-		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true}}
+		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{}}
 	root.AddCommand(runCommand(), rehearseCommand(), replayCommand(), daysCommand(), solveCommand(), planCommand(), configCommand(), &cobra.Command{Use: "version", Short: "Print the version",
 		Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "barleysail", version) }})
+	root.AddCommand(operators()...)
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "barleysail:", err)
+		var coded *exitError
+		if errors.As(err, &coded) {
+			os.Exit(coded.code)
+		}
 		os.Exit(1)
 	}
 }
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -22,6 +22,7 @@
 // api is the front for proxies: long polls with deltas. It turns requests into calls and answers into replies.
 type api struct {
 	core    *core
+	ops     *Operators
 	version string
 }
 
@@ -32,6 +33,7 @@
 	m.Handle("POST", "/v1/proxies/{proxy}/sums", http1.Route{Serve: a.sums, Media: []string{"application/json"}})
 	m.Handle("GET", "/v1/status", http1.Route{Serve: a.status})
 	m.Handle("GET", "/v1/fleet", http1.Route{Serve: a.fleet})
+	a.operators(m)
 	return m
 }
 
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -10,6 +10,7 @@
 	"barleysail/decide"
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
+	"barleysail/operator"
 	"barleysail/solver"
 	"barleysail/steward"
 )
@@ -46,6 +47,9 @@
 	polls   int64
 	waiting map[int64]func(steward.Answer)
 
+	followers map[int64]func() // told once when an event comes
+	followed  int64            // number of the newest event that was looked at
+
 	outs // of the present call
 }
 
@@ -63,7 +67,8 @@
 }
 
 func newCore(s *steward.Steward, log zerolog.Logger, rec *record.Writer) *core {
-	c := &core{clock: newClock(), log: log, steward: s, rec: rec, waiting: map[int64]func(steward.Answer){}}
+	c := &core{clock: newClock(), log: log, steward: s, rec: rec, waiting: map[int64]func(steward.Answer){},
+		followers: map[int64]func(){}}
 	c.timer = time.AfterFunc(time.Hour, func() { c.do(func(float64) {}) })
 	return c
 }
@@ -119,6 +124,14 @@
 	}
 	todo := c.outs
 	c.outs = outs{}
+	var told []func()
+	if n := c.steward.NewestEvent(); n != c.followed {
+		c.followed = n
+		for id, f := range c.followers {
+			told = append(told, f)
+			delete(c.followers, id)
+		}
+	}
 	c.mu.Unlock()
 	for _, line := range todo.lines {
 		c.log.Info().Msg(line)
@@ -126,6 +139,9 @@
 	for _, x := range todo.answers {
 		x.to(x.a)
 	}
+	for _, f := range told {
+		f()
+	}
 	for _, host := range todo.probes {
 		c.probe(host)
 	}
@@ -197,6 +213,37 @@
 	return counted, err
 }
 
+// operate gives operators' orders to the steward.
+func (c *core) operate(orders []operator.Order) (waits bool, err error) {
+	err = errStopping
+	c.input(func(now float64) *recordpb.Record { return record.Operate(now, orders) },
+		func(now float64) { waits, err = c.steward.Operate(now, orders, c) })
+	return waits, err
+}
+
+// follow has f called once when an event after a number comes.
+func (c *core) follow(after int64, f func()) (forget func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.steward.NewestEvent() > after {
+		f()
+		return func() {}
+	}
+	c.polls++
+	id := c.polls
+	c.followers[id] = f
+	return func() {
+		c.mu.Lock()
+		delete(c.followers, id)
+		c.mu.Unlock()
+	}
+}
+
+// look reads something out of the steward.
+func (c *core) look(f func(s *steward.Steward, now float64)) {
+	c.do(func(now float64) { f(c.steward, now) })
+}
+
 func (c *core) status() (st steward.Status) {
 	c.do(func(now float64) { st = c.steward.Status(now) })
 	return st
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,7 @@
 	if err := d.follow(ctx, c, log); err != nil {
 		return nil, err
 	}
-	a := &api{core: d.core, version: version}
+	a := &api{core: d.core, ops: d.Operators(), version: version}
 	d.server = http1.NewServer(a.mux(), http1.Config{Limits: http1.Limits{Body: int64(*c.Server.BodyBytes)},
 		Header: ms(*c.Server.HeaderMs), Body: ms(*c.Server.BodyMs), Idle: ms(*c.Server.IdleMs),
 		Write: ms(*c.Server.WriteMs), Conns: int(*c.Server.Connections)})
@@ -110,6 +110,9 @@
 	return nil
 }
 
+// Operators is the way for operators.
+func (d *Daemon) Operators() *Operators { return &Operators{core: d.core} }
+
 // Addr is the address at which proxies are served.
 func (d *Daemon) Addr() string { return d.listener.Addr().String() }
 
--- /dev/null
+++ b/internal/daemon/operators.go
@@ -0,0 +1,221 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math"
+	"strconv"
+	"sync"
+	"time"
+
+	"barleysail/internal/http1"
+	"barleysail/operator"
+	"barleysail/steward"
+)
+
+// Operators is what operators may ask of a steward and tell it, whatever front they come by.
+type Operators struct {
+	core *core
+}
+
+// Hosts tells how the hosts stand.
+func (o *Operators) Hosts() (all []steward.HostInfo) {
+	o.core.look(func(s *steward.Steward, _ float64) { all = s.HostInfos() })
+	return all
+}
+
+// Proxies tells how the proxies stand.
+func (o *Operators) Proxies() (all []steward.ProxyInfo) {
+	o.core.look(func(s *steward.Steward, _ float64) { all = s.ProxyInfos() })
+	return all
+}
+
+// Holds gives the tables that a proxy was last given.
+func (o *Operators) Holds(proxy string) (a steward.Answer, ok bool) {
+	o.core.look(func(s *steward.Steward, _ float64) { a, ok = s.Holds(proxy) })
+	return a, ok
+}
+
+// Status tells how the steward stands, and its time.
+func (o *Operators) Status() (st steward.Status, now float64) {
+	o.core.look(func(s *steward.Steward, at float64) { st, now = s.Status(at), at })
+	return st, now
+}
+
+// Order gives orders to the steward; several are carried out stepwise.
+func (o *Operators) Order(orders ...operator.Order) (waits bool, err error) {
+	return o.core.operate(orders)
+}
+
+// Events gives those after a number; where there are none it calls later once, when one comes or the wait is over.
+func (o *Operators) Events(after int64, wait time.Duration, to func([]steward.Event)) (cancel func()) {
+	var all []steward.Event
+	var once sync.Once
+	give := func() {
+		once.Do(func() {
+			o.core.look(func(s *steward.Steward, _ float64) { all = s.Events(after) })
+			to(all)
+		})
+	}
+	o.core.look(func(s *steward.Steward, _ float64) { all = s.Events(after) })
+	if len(all) > 0 || wait <= 0 {
+		give()
+		return func() {}
+	}
+	forget := o.core.follow(after, func() { go give() })
+	timer := time.AfterFunc(wait, give)
+	return func() { forget(); timer.Stop(); once.Do(func() {}) }
+}
+
+func (a *api) operators(m *http1.Mux) {
+	m.Handle("GET", "/v1/hosts", http1.Route{Serve: func(*http1.Request) http1.Reply {
+		return jsonReply(map[string]any{"hosts": a.ops.Hosts()})
+	}})
+	m.Handle("GET", "/v1/hosts/{host}", http1.Route{Serve: a.host})
+	m.Handle("POST", "/v1/hosts/{host}/operator", http1.Route{Serve: a.operate, Media: []string{"application/json"}, MaxBody: 4096})
+	m.Handle("POST", "/v1/zones/{zone}/operator", http1.Route{Serve: a.operateZone, Media: []string{"application/json"}, MaxBody: 4096})
+	m.Handle("GET", "/v1/proxies", http1.Route{Serve: func(*http1.Request) http1.Reply {
+		return jsonReply(map[string]any{"proxies": a.ops.Proxies()})
+	}})
+	m.Handle("GET", "/v1/proxies/{proxy}/holds", http1.Route{Serve: a.holds})
+	m.Handle("GET", "/v1/events", http1.Route{Serve: a.events})
+}
+
+func (a *api) host(q *http1.Request) http1.Reply {
+	for _, h := range a.ops.Hosts() {
+		if h.Host == q.Params["host"] {
+			return jsonReply(h)
+		}
+	}
+	return http1.Problem{Status: 404, Detail: "no such host"}.Reply()
+}
+
+func (a *api) holds(q *http1.Request) http1.Reply {
+	x, ok := a.ops.Holds(q.Params["proxy"])
+	if !ok {
+		return http1.Problem{Status: 404, Detail: "the proxy has not joined, or holds nothing"}.Reply()
+	}
+	return reply(x, 0, false)
+}
+
+// orderBody is what an operator posts.
+type orderBody struct {
+	State  string   `json:"state"`  // ready, drain or maint; "": as it is set
+	Weight *float64 `json:"weight"` // in place of the list's
+	Part   *float64 `json:"part"`   // of the list's weight
+	Clear  bool     `json:"clear"`  // the list's weight again
+	ForMs  float64  `json:"for_ms"` // then it ends
+	Wait   bool     `json:"wait"`   // for its turn, where it cannot be done now
+	By     string   `json:"by"`
+	Add    *struct {
+		Zone   string  `json:"zone"`
+		Weight float64 `json:"weight"`
+		Cores  float64 `json:"cores"`
+		Speed  float64 `json:"speed"`
+	} `json:"add"`
+	Remove bool `json:"remove"`
+}
+
+// order reads an order for a host.
+func (b *orderBody) order(host string) (operator.Order, error) {
+	state, ok := operator.ParseState(b.State)
+	if !ok && b.State != "" {
+		return operator.Order{}, &steward.FieldError{Field: "state", Reason: "ready, drain and maint are known"}
+	}
+	o := operator.Order{Host: host, State: state, Keep: b.State == "", Weight: -1, Clear: b.Clear, For: b.ForMs, Wait: b.Wait, By: b.By,
+		Remove: b.Remove}
+	if b.Weight != nil {
+		o.Weight = math.Max(*b.Weight, 0)
+	} else if b.Part != nil {
+		o.Weight, o.Part = math.Max(*b.Part, 0), true
+	}
+	if b.Add != nil {
+		o.Keep, o.Add = false, &operator.Added{Zone: b.Add.Zone, Weight: b.Add.Weight, Cores: b.Add.Cores, Speed: b.Add.Speed}
+	}
+	return o, nil
+}
+
+func readOrder(q *http1.Request) (*orderBody, error) {
+	b := &orderBody{}
+	d := json.NewDecoder(bytes.NewReader(q.Body))
+	d.DisallowUnknownFields()
+	return b, d.Decode(b)
+}
+
+func (a *api) operate(q *http1.Request) http1.Reply {
+	b, err := readOrder(q)
+	if err != nil {
+		return malformed(err)
+	}
+	o, err := b.order(q.Params["host"])
+	if err != nil {
+		return fail(err)
+	}
+	return a.ordered(o)
+}
+
+// operateZone orders the same of all hosts of a zone, stepwise.
+func (a *api) operateZone(q *http1.Request) http1.Reply {
+	b, err := readOrder(q)
+	if err != nil {
+		return malformed(err)
+	}
+	var all []operator.Order
+	for _, h := range a.ops.Hosts() {
+		if h.Zone != q.Params["zone"] || h.Phase == "gone" {
+			continue
+		}
+		o, err := b.order(h.Host)
+		if err != nil {
+			return fail(err)
+		}
+		o.Wait = true
+		all = append(all, o)
+	}
+	if len(all) == 0 {
+		return http1.Problem{Status: 404, Detail: "no host of that zone is listed"}.Reply()
+	}
+	return a.ordered(all...)
+}
+
+func (a *api) ordered(orders ...operator.Order) http1.Reply {
+	waits, err := a.ops.Order(orders...)
+	var refused *operator.Refusal
+	if errors.As(err, &refused) && refused.Unknown {
+		return http1.Problem{Status: 404, Detail: err.Error()}.Reply()
+	} else if refused != nil {
+		return http1.Problem{Status: 409, Detail: err.Error()}.Reply()
+	} else if err != nil {
+		return fail(err)
+	}
+	r := jsonReply(map[string]any{"hosts": len(orders), "waits": waits})
+	if waits {
+		r.Status = 202
+	}
+	return r
+}
+
+// eventsWait is how long a follower is held at most, in seconds.
+const eventsWait = 60
+
+func (a *api) events(q *http1.Request) http1.Reply {
+	after, err := strconv.ParseInt(q.Query.Get("after"), 10, 64)
+	if err != nil && q.Query.Get("after") != "" {
+		return fail(&steward.FieldError{Field: "after", Reason: "is no number"})
+	}
+	seconds, _ := wait(q.Header)
+	var cancel func()
+	held := q.Hold(func() {
+		if cancel != nil {
+			cancel()
+		}
+	})
+	cancel = a.ops.Events(after, time.Duration(math.Min(seconds, eventsWait)*float64(time.Second)), func(all []steward.Event) {
+		if all == nil {
+			all = []steward.Event{}
+		}
+		held.Answer(jsonReply(map[string]any{"events": all}))
+	})
+	return http1.Reply{Held: held}
+}
--- a/internal/record/inputs.go
+++ b/internal/record/inputs.go
@@ -7,6 +7,7 @@
 
 	"barleysail/decide"
 	"barleysail/internal/record/recordpb"
+	"barleysail/operator"
 	"barleysail/steward"
 )
 
@@ -84,6 +85,34 @@
 	return &recordpb.Record{At: at, What: &recordpb.Record_Release{Release: true}}
 }
 
+// Operate records operators' orders.
+func Operate(at float64, orders []operator.Order) *recordpb.Record {
+	x := &recordpb.Operate{}
+	for _, o := range orders {
+		r := &recordpb.Order{Host: o.Host, State: int32(o.State), Weight: o.Weight, Clear: o.Clear, Part: o.Part, For: o.For,
+			Wait: o.Wait, By: o.By, Remove: o.Remove, Keep: o.Keep}
+		if a := o.Add; a != nil {
+			r.Add = &recordpb.Host{Address: o.Host, Zone: a.Zone, Weight: a.Weight, Cores: a.Cores, Speed: a.Speed, Started: a.Started}
+		}
+		x.Orders = append(x.Orders, r)
+	}
+	return &recordpb.Record{At: at, What: &recordpb.Record_Operate{Operate: x}}
+}
+
+// Orders gives recorded orders.
+func Orders(x *recordpb.Operate) []operator.Order {
+	var all []operator.Order
+	for _, r := range x.Orders {
+		o := operator.Order{Host: r.Host, State: operator.State(r.State), Weight: r.Weight, Clear: r.Clear, Part: r.Part, For: r.For,
+			Wait: r.Wait, By: r.By, Remove: r.Remove, Keep: r.Keep}
+		if a := r.Add; a != nil {
+			o.Add = &operator.Added{Zone: a.Zone, Weight: a.Weight, Cores: a.Cores, Speed: a.Speed, Started: a.Started}
+		}
+		all = append(all, o)
+	}
+	return all
+}
+
 // Published records an answer to a poll.
 func Published(at float64, poll int64, a steward.Answer) *recordpb.Record {
 	body := a.Body()
@@ -127,6 +156,8 @@
 		s.Probed(r.At, x.Probed.Host, decide.Outcome(x.Probed.Outcome), unload(x.Probed.Load))
 	case *recordpb.Record_Advance:
 		s.Advance(r.At, out)
+	case *recordpb.Record_Operate:
+		s.Operate(r.At, Orders(x.Operate), out)
 	case *recordpb.Record_Release:
 		s.Release(r.At, out)
 	case *recordpb.Record_Published, *recordpb.Record_Start, *recordpb.Record_ProxyStart, *recordpb.Record_Transaction,
--- a/replay/describe.go
+++ b/replay/describe.go
@@ -9,6 +9,7 @@
 
 	"barleysail/decide"
 	"barleysail/internal/record/recordpb"
+	"barleysail/operator"
 )
 
 // Describe words an input in a line.
@@ -41,6 +42,12 @@
 	case *recordpb.Record_Probed:
 		how := [...]string{"answered", "refused", "was silent", "was not there"}
 		return at + fmt.Sprintf("%s %s to a probe", x.Probed.Host, how[min(max(int(x.Probed.Outcome), 0), 3)])
+	case *recordpb.Record_Operate:
+		var all []string
+		for _, o := range x.Operate.Orders {
+			all = append(all, o.Host+" "+operator.State(o.State).String())
+		}
+		return at + "operators order " + strings.Join(all, ", ")
 	case *recordpb.Record_Release:
 		return at + "the steward ends: held polls are answered"
 	case *recordpb.Record_Advance:
--- a/replay/other.go
+++ b/replay/other.go
@@ -11,6 +11,7 @@
 
 	"barleysail/decide"
 	"barleysail/internal/core"
+	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
 	"barleysail/internal/rules"
 	"barleysail/replay/response"
@@ -217,6 +218,8 @@
 		l.listed(r.Listed)
 	case *recordpb.Record_ListFailed:
 		l.steward.ListFailed(e.now)
+	case *recordpb.Record_Operate:
+		l.steward.Operate(e.now, record.Orders(r.Operate), l) // one that is now refused is refused
 	case *recordpb.Record_Poll:
 		p := e.proxy(r.Poll.Proxy, r.Poll.Zone)
 		if p.life != l {
--- a/steward/list.go
+++ b/steward/list.go
@@ -25,8 +25,9 @@
 
 // list is the host list as last told, and the hosts that left it.
 type list struct {
-	entries map[string]Entry
-	gone    []departed // by time
+	raw     []Entry          // as it came
+	entries map[string]Entry // with what operators set laid over it
+	gone    []departed       // by time
 	known   bool
 	failed  bool
 	at      float64
@@ -103,7 +104,7 @@
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Host < sorted[j].Host })
 	l := &s.list
 	first := !l.known
-	l.known, l.failed, l.at = true, false, s.now
+	l.known = true
 	if first {
 		s.module.WholeList(true)
 		s.enter(sorted)
@@ -173,6 +174,9 @@
 		}
 		if s.module.Forget(h) {
 			s.hosts.release(host)
+			if h < len(s.moves) {
+				s.moves[h] = nil
+			}
 		} else {
 			l.gone = append(l.gone, departed{host, s.now + s.polls.ForgetAfter})
 		}
--- a/steward/members.go
+++ b/steward/members.go
@@ -158,6 +158,7 @@
 	}
 	ms.byName[name], ms.byIndex[m.index] = m, m
 	s.module.Joined(m.index, zone, rate)
+	s.event("joined", name+" of "+s.fleet.Zones[zone])
 	s.round.soon(s.now, s.polls.Step)
 	return m
 }
@@ -167,6 +168,7 @@
 		s.answer(m, m.poll)
 	}
 	s.channel.drop(m)
+	s.event("left", m.name)
 	s.module.Left(m.index)
 	s.module.ForgetProxy(m.index)
 	s.tables.forget(s.module.OwnTable(m.index))
--- /dev/null
+++ b/steward/operate.go
@@ -0,0 +1,341 @@
+package steward
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"sort"
+
+	"barleysail/decide"
+	"barleysail/operator"
+)
+
+// Operate takes operators' orders; several are carried out stepwise, each once the one before is through. An order
+// that would break a rule is refused with an *operator.Refusal, and nothing of it is done.
+func (s *Steward) Operate(now float64, orders []operator.Order, out Out) (waits bool, err error) {
+	s.now, s.out = now, out
+	if !s.list.known {
+		return false, &operator.Refusal{Host: "the list", Reason: "it is not known yet"}
+	}
+	for _, o := range orders {
+		if o.Add == nil {
+			continue
+		}
+		e := Entry{Host: o.Host, Zone: o.Add.Zone, Phase: decide.Ready, Weight: o.Add.Weight, Cores: o.Add.Cores, Speed: o.Add.Speed}
+		if err := s.checkList([]Entry{e}); err != nil {
+			return false, err
+		}
+	}
+	if len(orders) > 1 {
+		waits, err = true, s.book.Batch(s.operatorsView(), orders)
+	} else if len(orders) == 1 {
+		waits, err = s.book.Order(s.operatorsView(), orders[0])
+	}
+	for _, o := range orders {
+		word := "set"
+		if err != nil {
+			word = "refused"
+		} else if waits {
+			word = "waits"
+		}
+		s.event("operator", describeOrder(o)+": "+word)
+	}
+	if err != nil {
+		return false, err
+	}
+	s.lay()
+	s.stepAt = now
+	return waits, nil
+}
+
+// describeOrder words an order.
+func describeOrder(o operator.Order) string {
+	text := o.Host + " " + o.State.String()
+	switch {
+	case o.Add != nil:
+		text = o.Host + " add"
+	case o.Remove:
+		text = o.Host + " remove"
+	case o.Clear:
+		text += ", the list's weight"
+	case o.Weight >= 0 && o.Part:
+		text += fmt.Sprintf(", weight %g of the list's", o.Weight)
+	case o.Weight >= 0:
+		text += fmt.Sprintf(", weight %g", o.Weight)
+	}
+	if o.For > 0 {
+		text += fmt.Sprintf(" for %g s", o.For/1000)
+	}
+	if o.By != "" {
+		text += " by " + o.By
+	}
+	return text
+}
+
+// lay feeds the module the list with what operators set laid over it.
+func (s *Steward) lay() {
+	s.take(s.over(s.list.raw))
+	s.round.soon(s.now, s.polls.Step)
+}
+
+// over lays what operators set over a list.
+func (s *Steward) over(raw []Entry) []Entry {
+	sets := s.book.Sets()
+	if len(sets) == 0 {
+		return raw
+	}
+	var all []Entry
+	listed := map[string]bool{}
+	laid := func(e Entry, set operator.Set) {
+		switch set.State {
+		case operator.Maint:
+			return
+		case operator.Drain:
+			e.Phase = decide.Draining
+		}
+		if set.Weight > 0 {
+			e.Weight = set.Weight
+		} else if set.Part > 0 {
+			e.Weight = math.Max(e.Weight, 0) * set.Part
+			if e.Weight == 0 { // a weight of 0 says nothing
+				e.Weight = set.Part
+			}
+		}
+		all = append(all, e)
+	}
+	for _, e := range raw {
+		listed[e.Host] = true
+		laid(e, sets[e.Host])
+	}
+	for _, host := range slices.Sorted(maps.Keys(sets)) {
+		if a := sets[host].Added; a != nil && !listed[host] {
+			laid(Entry{Host: host, Zone: a.Zone, Phase: decide.Ready, Weight: a.Weight, Cores: a.Cores, Speed: a.Speed,
+				Started: a.Started}, sets[host])
+		}
+	}
+	return all
+}
+
+// operatorsView is what decisions on operators' orders go by.
+func (s *Steward) operatorsView() operator.View {
+	v := operator.View{Now: s.now, Quiet: s.channel.waiting() == 0 && s.channel.messages() == 0, Grace: s.grace,
+		Known: func(host string) bool {
+			return slices.ContainsFunc(s.list.raw, func(e Entry) bool { return e.Host == host }) || s.book.Sets()[host].Added != nil
+		}}
+	raw := map[string]float64{}
+	for _, e := range s.list.raw {
+		raw[e.Host] = e.Weight
+	}
+	for _, host := range slices.Sorted(maps.Keys(s.list.entries)) {
+		e := s.list.entries[host]
+		h := operator.Host{Name: host, Zone: e.Zone, Ready: e.Phase == decide.Ready, Warmth: 1, Weight: e.Weight}
+		if w, ok := raw[host]; ok {
+			h.Weight = w
+		}
+		if h.Weight == 0 {
+			h.Weight = 1
+		}
+		if x, ok := s.module.Explain(s.hosts.of[host]); ok {
+			h.Warmth = x.Warmth
+			if x.Started >= 0 {
+				h.Warm = x.Started + s.cold
+			}
+			h.Ready = h.Ready && !x.Out
+		}
+		v.Hosts = append(v.Hosts, h)
+	}
+	for _, c := range s.classes {
+		if c.Local {
+			v.Local = append(v.Local, c.Name)
+		}
+	}
+	zones := map[string]bool{}
+	for _, m := range s.members.byIndex {
+		if m != nil {
+			zones[s.fleet.Zones[m.zone]] = true
+		}
+	}
+	v.Zones = slices.Sorted(maps.Keys(zones))
+	return v
+}
+
+// step carries out operators' orders that are due.
+func (s *Steward) step() {
+	if s.now < s.stepAt {
+		return
+	}
+	if done := s.book.Step(s.operatorsView()); len(done) > 0 {
+		for _, o := range done {
+			s.event("operator", describeOrder(o)+": set")
+		}
+		s.lay()
+	}
+	s.stepAt = s.book.Next(s.now, s.grace)
+}
+
+// HostInfo is how a host stands.
+type HostInfo struct {
+	Host      string             `json:"host"`
+	Zone      string             `json:"zone"`
+	Phase     string             `json:"phase"` // ready, draining or gone
+	Withdrawn bool               `json:"withdrawn"`
+	Listed    float64            `json:"listed_weight"`
+	Weight    float64            `json:"weight"` // as told to proxies
+	Operator  *OperatorSet       `json:"operator,omitempty"`
+	Why       decide.Explanation `json:"why"`
+	Cores     float64            `json:"cores,omitempty"`
+	Moves     []Move             `json:"moves,omitempty"` // the last ones, the newest last
+}
+
+// OperatorSet is what an operator set on a host.
+type OperatorSet struct {
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight,omitempty"`
+	Part    float64 `json:"part,omitempty"`
+	Added   bool    `json:"added,omitempty"`
+	By      string  `json:"by,omitempty"`
+	At      float64 `json:"at"`
+	Until   float64 `json:"until,omitempty"`
+	Waiting bool    `json:"waiting,omitempty"` // for its turn
+}
+
+// Move is a change of a host's weight in the tables, with the figures of its moment.
+type Move struct {
+	At   float64 `json:"at"`
+	From float64 `json:"from"`
+	To   float64 `json:"to"`
+	Rate float64 `json:"rate"`
+	R    float64 `json:"r"`
+	Cap  float64 `json:"cap"`
+}
+
+// movesKept of each host.
+const movesKept = 4
+
+// moved notes a line of a table that all proxies share.
+func (s *Steward) moved(h int, from, to float64) {
+	for len(s.moves) <= h {
+		s.moves = append(s.moves, nil)
+	}
+	x, _ := s.module.Explain(h)
+	m := append(s.moves[h], Move{s.now, from, to, x.Rate, x.R, x.Cap})
+	s.moves[h] = m[max(len(m)-movesKept, 0):]
+}
+
+// HostInfos tells how the hosts stand, by name: those listed, and those that an operator took off the list.
+func (s *Steward) HostInfos() []HostInfo {
+	sets := s.book.Sets()
+	waiting := map[string]operator.Order{}
+	for _, o := range s.book.Waiting() {
+		waiting[o.Host] = o
+	}
+	entries := maps.Clone(s.list.entries)
+	for _, e := range s.list.raw {
+		if _, ok := entries[e.Host]; !ok {
+			e.Phase = decide.Gone
+			entries[e.Host] = e
+		}
+	}
+	for host, set := range sets {
+		if _, ok := entries[host]; !ok && set.Added != nil {
+			entries[host] = Entry{Host: host, Zone: set.Added.Zone, Phase: decide.Gone, Weight: set.Added.Weight}
+		}
+	}
+	var all []HostInfo
+	for host, e := range entries {
+		i := HostInfo{Host: host, Zone: e.Zone, Phase: [...]string{"gone", "ready", "draining"}[e.Phase], Listed: e.Weight, Cores: e.Cores}
+		if h, ok := s.hosts.of[host]; ok {
+			if x, ok := s.module.Explain(h); ok {
+				i.Why, i.Withdrawn, i.Weight = x, x.Out, x.Told
+			}
+			if h < len(s.moves) {
+				i.Moves = slices.Clone(s.moves[h])
+			}
+		}
+		if set, ok := sets[host]; ok {
+			i.Operator = &OperatorSet{set.State.String(), set.Weight, set.Part, set.Added != nil, set.By, set.At, set.Until, false}
+		}
+		if o, ok := waiting[host]; ok {
+			i.Operator = &OperatorSet{State: o.State.String(), Weight: math.Max(o.Weight, 0), By: o.By, Waiting: true}
+		}
+		all = append(all, i)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Host < all[j].Host })
+	return all
+}
+
+// ProxyInfo is how a proxy stands.
+type ProxyInfo struct {
+	Proxy   string             `json:"proxy"`
+	Zone    string             `json:"zone"`
+	Tag     string             `json:"tag"`   // the newest version
+	Acked   bool               `json:"acked"` // it polled with that
+	Held    bool               `json:"held"`  // a poll of it is held
+	Rates   map[string]float64 `json:"rates"`
+	Waiting float64            `json:"lines_waiting"`
+}
+
+// ProxyInfos tells how the joined proxies stand, by name.
+func (s *Steward) ProxyInfos() []ProxyInfo {
+	var all []ProxyInfo
+	for _, name := range slices.Sorted(maps.Keys(s.members.byName)) {
+		m := s.members.byName[name]
+		i := ProxyInfo{Proxy: name, Zone: s.fleet.Zones[m.zone], Held: m.poll != nil, Rates: map[string]float64{}}
+		if n := len(m.versions); n > 0 {
+			i.Tag, i.Acked = s.tag(m.versions[n-1].number), m.acked == m.versions[n-1].number
+		}
+		if m.message != nil {
+			i.Waiting = m.message.lines
+		}
+		for k, c := range s.classes {
+			i.Rates[c.Name] = m.rates[k]
+		}
+		all = append(all, i)
+	}
+	return all
+}
+
+// Holds gives what a proxy was last given; false where it has not joined or has got nothing.
+func (s *Steward) Holds(proxy string) (Answer, bool) {
+	m := s.members.byName[proxy]
+	if m == nil || len(m.versions) == 0 {
+		return Answer{}, false
+	}
+	v := m.versions[len(m.versions)-1]
+	return Answer{Kind: Whole, Proxy: proxy, Tag: s.tag(v.number), view: v.view}, true
+}
+
+// Event is what a steward did or was told, worth an operator's eye.
+type Event struct {
+	Number int64   `json:"number"`
+	At     float64 `json:"at"`
+	Kind   string  `json:"kind"` // mode, list, operator, joined, left
+	Text   string  `json:"text"`
+}
+
+// eventsKept are the newest ones.
+const eventsKept = 1024
+
+func (s *Steward) event(kind, text string) {
+	s.events.number++
+	e := Event{s.events.number, s.now, kind, text}
+	if len(s.events.all) == eventsKept {
+		s.events.all = append(s.events.all[:0], s.events.all[1:]...)
+	}
+	s.events.all = append(s.events.all, e)
+}
+
+type events struct {
+	number int64
+	all    []Event
+}
+
+// NewestEvent is the number of the newest one, 0 where there is none.
+func (s *Steward) NewestEvent() int64 { return s.events.number }
+
+// Events gives those after a number, as far as they are kept.
+func (s *Steward) Events(after int64) []Event {
+	i := sort.Search(len(s.events.all), func(i int) bool { return s.events.all[i].Number > after })
+	return slices.Clone(s.events.all[i:])
+}
--- a/steward/solved.go
+++ b/steward/solved.go
@@ -36,7 +36,7 @@
 
 // weight is what the module is told as a host's listed weight.
 func (s *Steward) weight(e Entry) float64 {
-	if w, ok := s.solved.weights[e.Host]; ok {
+	if w, ok := s.solved.weights[e.Host]; ok && !s.book.Weighed(e.Host) {
 		return w
 	}
 	return e.Weight
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"barleysail/decide"
+	"barleysail/operator"
 )
 
 // Class of transactions, in the order of the settings.
@@ -85,6 +86,12 @@
 	channel channel
 
 	solved   solved
+	book     *operator.Book
+	stepAt   float64 // when operators' orders are looked at next
+	grace    float64
+	cold     float64
+	moves    [][]Move // by host
+	events   events
 	answered answers
 	out      Out // of the present call
 
@@ -107,6 +114,7 @@
 	s.module = decide.New(decide.Fleet{Instances: fleet.Instances, Zones: len(fleet.Zones), Proxies: fleet.Proxies,
 		Seed: fleet.Seed, Period: fleet.Period, Ejects: fleet.Ejects, UsualTries: fleet.UsualTries,
 		Admits: fleet.Admits, MayProbe: fleet.MayProbe, MustAsk: fleet.MustAsk}, known, channel, guard, goal)
+	s.book, s.stepAt, s.grace, s.cold = operator.New(), math.Inf(1), guard.Grace, guard.Cold
 	s.hosts, s.list, s.members = newIndices(), newList(), newMembers()
 	s.tables = newTables(len(classes), fleet.UsualTries)
 	s.channel = newChannel(channel)
@@ -125,6 +133,7 @@
 		s.depart()
 	}
 	s.forget()
+	s.step()
 	s.renew()
 }
 
@@ -149,7 +158,12 @@
 	if err := s.checkList(entries); err != nil {
 		return err
 	}
-	s.take(entries)
+	if before := len(s.list.raw); before != len(entries) || !s.list.known {
+		s.event("list", fmt.Sprintf("the list has %d hosts, before %d", len(entries), before))
+	}
+	s.list.raw = append([]Entry(nil), entries...)
+	s.list.at, s.list.failed = now, false
+	s.take(s.over(s.list.raw))
 	s.round.soon(now, s.polls.Step)
 	return nil
 }
@@ -158,6 +172,7 @@
 func (s *Steward) ListFailed(now float64) {
 	s.now = now
 	s.list.failed = true
+	s.event("list", "the list could not be had")
 	s.module.ListFailed()
 	s.round.soon(now, s.polls.Step)
 }
@@ -217,5 +232,6 @@
 		}
 	}
 	s.mode, s.modeAt = strings.Join(words, " "), s.now
+	s.event("mode", s.mode)
 	s.out.Log(s.mode)
 }
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -85,6 +85,9 @@
 
 func (w writer) Line(number, host int, weight float64) {
 	b := w.tables.touch(number)
+	if number <= len(w.fleet.Zones) {
+		w.moved(host, b.weights[host], weight)
+	}
 	if b.snapshot = nil; weight > 0 {
 		b.weights[host] = round6(weight)
 	} else {
