Runtime API: the second front, in the manner of HAProxy's stats socket

Users want the socket that their tools know. A class is a backend, a host a server. Orders go through package operator as from any other front.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,9 +5,11 @@
 import (
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -16,6 +18,7 @@
 
 	"barleysail/decide"
 	"barleysail/internal/config/configpb"
+	"barleysail/internal/runtimeapi"
 	"barleysail/steward"
 )
 
@@ -181,6 +184,30 @@
 	if (c.List.File == "") == (c.List.Url == "") {
 		f.fail("list", "a file or a url is needed, not both")
 	}
+	for i, r := range c.Runtime {
+		at := fmt.Sprintf("runtime[%d]", i)
+		if r.Level == "" {
+			r.Level = "operator"
+		}
+		if _, ok := runtimeapi.ParseLevel(r.Level); !ok {
+			f.fail(at+".level", "%q: user, operator and admin are known", r.Level)
+		}
+		f.socket(at+".address", r.Address)
+		if host, _, err := net.SplitHostPort(r.Address); err == nil && !strings.HasPrefix(r.Address, "unix:") && !loopback(host) {
+			f.fail(at+".address", "%q is not on loopback, and the socket asks nobody who he is", r.Address)
+		}
+	}
+	for i, p := range c.Sockets {
+		at := fmt.Sprintf("sockets[%d]", i)
+		if !word.MatchString(p.Proxy) {
+			f.fail(at+".proxy", "%q is no name", p.Proxy)
+		}
+		if !slices.Contains(c.Zones, p.Zone) {
+			f.fail(at+".zone", "%q is not among the zones", p.Zone)
+		}
+		f.socket(at+".address", p.Address)
+		f.within(at+".rate", p.GetRate(), 0, 1e9)
+	}
 	f.within("solved.every_ms", *c.Solved.EveryMs, 100, 1000*hour)
 	f.within("solved.least_gain", *c.Solved.LeastGain, 0, 1)
 	f.within("list.wait_ms", *c.List.WaitMs, 100, hour)
@@ -197,6 +224,24 @@
 	}
 }
 
+// socket checks unix:PATH or address:port.
+func (f *fields) socket(field, address string) {
+	if path, ok := strings.CutPrefix(address, "unix:"); ok {
+		if path == "" || len(path) > 100 {
+			f.fail(field, "a path of 1 to 100 bytes is needed")
+		}
+		return
+	}
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		f.fail(field, "%q is neither unix:PATH nor address:port", address)
+	}
+}
+
+func loopback(host string) bool {
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
 // Hosts reads a list file's text. Zones are checked by the steward, which names the entry.
 func Hosts(file string, text []byte) ([]steward.Entry, error) {
 	l := &configpb.HostList{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +21,7 @@
 	"barleysail/internal/http1"
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
+	"barleysail/internal/runtimeapi"
 )
 
 // Daemon is a running steward.
@@ -30,6 +32,13 @@
 	cancel   context.CancelFunc
 	record   *os.File
 	clients  []*http1.Client
+	fronts   []front
+}
+
+// front is a runtime socket.
+type front struct {
+	listener net.Listener
+	server   *runtimeapi.Server
 }
 
 // Start starts a steward by a checked configuration.
@@ -82,6 +91,9 @@
 			log.Error().Err(err).Msg("no more connections are taken")
 		}
 	}()
+	if err := d.runtime(c, version, log); err != nil {
+		return nil, err
+	}
 	d.core.do(func(float64) {})
 	log.Info().Str("listen", d.Addr()).Str("life", life).Str("version", version).Msg("steward started")
 	return d, nil
@@ -113,6 +125,48 @@
 // Operators is the way for operators.
 func (d *Daemon) Operators() *Operators { return &Operators{core: d.core} }
 
+// runtime opens the runtime sockets.
+func (d *Daemon) runtime(c *configpb.Config, version string, log zerolog.Logger) error {
+	for _, r := range c.Runtime {
+		l, err := listenOn(r.Address)
+		if err != nil {
+			return fmt.Errorf("opening the runtime socket: %w", err)
+		}
+		level, _ := runtimeapi.ParseLevel(r.Level)
+		f := front{l, runtimeapi.New(d.Operators(), runtimeapi.Config{Level: level, Version: version})}
+		d.fronts = append(d.fronts, f)
+		go func() {
+			if err := f.server.Serve(f.listener); err != nil {
+				log.Error().Err(err).Msg("the runtime socket takes no more connections")
+			}
+		}()
+	}
+	return nil
+}
+
+// listenOn listens at unix:PATH or address:port. A socket's file that nobody listens at any more is replaced.
+func listenOn(address string) (net.Listener, error) {
+	path, ok := strings.CutPrefix(address, "unix:")
+	if !ok {
+		return net.Listen("tcp", address)
+	}
+	if c, err := net.Dial("unix", path); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("%s: another program listens there", path)
+	}
+	if info, err := os.Stat(path); err == nil && info.Mode()&os.ModeSocket != 0 {
+		os.Remove(path)
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
+	}
+	return l, os.Chmod(path, 0o600)
+}
+
+// RuntimeAddr is the address of a runtime socket, in the order of the configuration.
+func (d *Daemon) RuntimeAddr(i int) string { return d.fronts[i].listener.Addr().String() }
+
 // Addr is the address at which proxies are served.
 func (d *Daemon) Addr() string { return d.listener.Addr().String() }
 
@@ -136,6 +190,10 @@
 
 func (d *Daemon) close() {
 	d.cancel()
+	for _, f := range d.fronts {
+		f.listener.Close()
+		f.server.Close()
+	}
 	if d.listener != nil {
 		d.listener.Close()
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -25,6 +25,12 @@
 	return all
 }
 
+// Host tells how one host stands.
+func (o *Operators) Host(name string) (h steward.HostInfo, ok bool) {
+	o.core.look(func(s *steward.Steward, _ float64) { h, ok = s.HostInfo(name) })
+	return h, ok
+}
+
 // Proxies tells how the proxies stand.
 func (o *Operators) Proxies() (all []steward.ProxyInfo) {
 	o.core.look(func(s *steward.Steward, _ float64) { all = s.ProxyInfos() })
@@ -83,10 +89,8 @@
 }
 
 func (a *api) host(q *http1.Request) http1.Reply {
-	for _, h := range a.ops.Hosts() {
-		if h.Host == q.Params["host"] {
-			return jsonReply(h)
-		}
+	if h, ok := a.ops.Host(q.Params["host"]); ok {
+		return jsonReply(h)
 	}
 	return http1.Problem{Status: 404, Detail: "no such host"}.Reply()
 }
--- a/internal/runtimeapi/commands.go
+++ b/internal/runtimeapi/commands.go
@@ -133,10 +133,8 @@
 	if !slices.Contains(st.Classes, backend) {
 		return h, "No such backend.\n", false
 	}
-	for _, h := range s.server.steward.Hosts() {
-		if h.Host == name {
-			return h, "", true
-		}
+	if h, ok := s.server.steward.Host(name); ok {
+		return h, "", true
 	}
 	return h, "No such server.\n", false
 }
--- a/internal/runtimeapi/server.go
+++ b/internal/runtimeapi/server.go
@@ -20,6 +20,7 @@
 // Steward is what the front needs of one.
 type Steward interface {
 	Hosts() []steward.HostInfo
+	Host(name string) (steward.HostInfo, bool)
 	Proxies() []steward.ProxyInfo
 	Holds(proxy string) (steward.Answer, bool)
 	Status() (st steward.Status, now float64)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -116,6 +116,9 @@
 // Sets gives what is set, by host.
 func (b *Book) Sets() map[string]Set { return maps.Clone(b.sets) }
 
+// Set gives what is set on a host.
+func (b *Book) Set(host string) (Set, bool) { s, ok := b.sets[host]; return s, ok }
+
 // Weighed tells whether a weight is set on a host.
 func (b *Book) Weighed(host string) bool { return b.sets[host].Weight > 0 || b.sets[host].Part > 0 }
 
--- a/steward/operate.go
+++ b/steward/operate.go
@@ -225,44 +225,69 @@
 
 // HostInfos tells how the hosts stand, by name: those listed, and those that an operator took off the list.
 func (s *Steward) HostInfos() []HostInfo {
-	sets := s.book.Sets()
-	waiting := map[string]operator.Order{}
-	for _, o := range s.book.Waiting() {
-		waiting[o.Host] = o
+	names := map[string]bool{}
+	for host := range s.list.entries {
+		names[host] = true
+	}
+	for _, e := range s.list.raw {
+		names[e.Host] = true
+	}
+	for host := range s.book.Sets() {
+		names[host] = true
 	}
-	entries := maps.Clone(s.list.entries)
+	raw := map[string]Entry{}
 	for _, e := range s.list.raw {
-		if _, ok := entries[e.Host]; !ok {
-			e.Phase = decide.Gone
-			entries[e.Host] = e
+		raw[e.Host] = e
+	}
+	var all []HostInfo
+	for _, host := range slices.Sorted(maps.Keys(names)) {
+		if i, ok := s.hostInfo(host, func() (Entry, bool) { e, ok := raw[host]; return e, ok }); ok {
+			all = append(all, i)
 		}
 	}
-	for host, set := range sets {
-		if _, ok := entries[host]; !ok && set.Added != nil {
-			entries[host] = Entry{Host: host, Zone: set.Added.Zone, Phase: decide.Gone, Weight: set.Added.Weight}
+	return all
+}
+
+// HostInfo tells how one host stands; false where there is no such host.
+func (s *Steward) HostInfo(host string) (HostInfo, bool) {
+	return s.hostInfo(host, func() (Entry, bool) {
+		i := slices.IndexFunc(s.list.raw, func(e Entry) bool { return e.Host == host })
+		if i < 0 {
+			return Entry{}, false
 		}
+		return s.list.raw[i], true
+	})
+}
+
+func (s *Steward) hostInfo(host string, raw func() (Entry, bool)) (HostInfo, bool) {
+	set, isSet := s.book.Set(host)
+	e, ok := s.list.entries[host]
+	if !ok {
+		if e, ok = raw(); !ok && (!isSet || set.Added == nil) {
+			return HostInfo{}, false
+		} else if !ok {
+			e = Entry{Host: host, Zone: set.Added.Zone, Weight: set.Added.Weight}
+		}
+		e.Phase = decide.Gone
 	}
-	var all []HostInfo
-	for host, e := range entries {
-		i := HostInfo{Host: host, Zone: e.Zone, Phase: [...]string{"gone", "ready", "draining"}[e.Phase], Listed: e.Weight, Cores: e.Cores}
-		if h, ok := s.hosts.of[host]; ok {
-			if x, ok := s.module.Explain(h); ok {
-				i.Why, i.Withdrawn, i.Weight = x, x.Out, x.Told
-			}
-			if h < len(s.moves) {
-				i.Moves = slices.Clone(s.moves[h])
-			}
+	i := HostInfo{Host: host, Zone: e.Zone, Phase: [...]string{"gone", "ready", "draining"}[e.Phase], Listed: e.Weight, Cores: e.Cores}
+	if h, ok := s.hosts.of[host]; ok {
+		if x, ok := s.module.Explain(h); ok {
+			i.Why, i.Withdrawn, i.Weight = x, x.Out, x.Told
 		}
-		if set, ok := sets[host]; ok {
-			i.Operator = &OperatorSet{set.State.String(), set.Weight, set.Part, set.Added != nil, set.By, set.At, set.Until, false}
+		if h < len(s.moves) {
+			i.Moves = slices.Clone(s.moves[h])
 		}
-		if o, ok := waiting[host]; ok {
+	}
+	if isSet {
+		i.Operator = &OperatorSet{set.State.String(), set.Weight, set.Part, set.Added != nil, set.By, set.At, set.Until, false}
+	}
+	for _, o := range s.book.Waiting() {
+		if o.Host == host {
 			i.Operator = &OperatorSet{State: o.State.String(), Weight: math.Max(o.Weight, 0), By: o.By, Waiting: true}
 		}
-		all = append(all, i)
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Host < all[j].Host })
-	return all
+	return i, true
 }
 
 // ProxyInfo is how a proxy stands.
