Proxies driven by their runtime sockets, and a terminal view

Plain proxies that cannot poll have a runtime socket. Package publisher decides what they are told (servers first, weights from 1 to 256, drains, removals after the grace) and settles by a mark which of several stewards drives one; the driver polls the steward for the proxy, so pace, acknowledgements and rules are those of any proxy. Sums come from show stat. barleysail top shows hosts by load, proxies and events in 80 columns.

--- a/client/client.go
+++ b/client/client.go
@@ -59,9 +59,9 @@
 	Result Result
 }
 
-// Options of a Client. Stewards, Proxy and Zone are needed.
+// Options of a Client. Proxy and Zone are needed.
 type Options struct {
-	Stewards []string // base URLs; the first is tried first, the next ones where it does not answer
+	Stewards []string // base URLs; the first is tried first, the next ones where it does not answer; none: tables come by Load
 	Proxy    string   // name of this proxy, the same at each start
 	Zone     string
 	Rate     float64  // transactions a second that it usually gets; 0: not told
@@ -112,8 +112,8 @@
 
 // New checks the options and makes a client. Run starts its work.
 func New(o Options) (*Client, error) {
-	if len(o.Stewards) == 0 || o.Proxy == "" || o.Zone == "" {
-		return nil, errors.New("a client needs a steward, the proxy's name and its zone")
+	if o.Proxy == "" || o.Zone == "" {
+		return nil, errors.New("a client needs the proxy's name and its zone")
 	}
 	for _, s := range o.Stewards {
 		if u, err := url.Parse(s); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
@@ -184,6 +184,13 @@
 	return all
 }
 
+// Load takes in a whole document of tables, for a proxy that gets them by another way than polls.
+func (c *Client) Load(tag string, doc []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held.whole("", tag, doc)
+}
+
 // Steward is the base URL of the steward whose poll was last answered, empty while none answers.
 func (c *Client) Steward() string {
 	c.mu.Lock()
--- a/client/run.go
+++ b/client/run.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,6 +20,9 @@
 
 // Run polls and sends sums until the context ends, and then leaves the steward.
 func (c *Client) Run(ctx context.Context) error {
+	if len(c.o.Stewards) == 0 {
+		return errors.New("running a client: it has no steward")
+	}
 	var both sync.WaitGroup
 	both.Add(2)
 	go func() { defer both.Done(); c.pollAll(ctx) }()
--- a/cmd/barleysail/operate.go
+++ b/cmd/barleysail/operate.go
@@ -476,7 +476,7 @@
 
 // operators are the commands that ask a running steward.
 func operators() []*cobra.Command {
-	all := []*cobra.Command{getCommand(), describeCommand(), eventsCommand(),
+	all := []*cobra.Command{getCommand(), describeCommand(), eventsCommand(), topCommand(),
 		orderCommand("drain HOST|zone=ZONE", "Drain a host, or a zone's hosts one after the other", "drain", false),
 		orderCommand("maint HOST|zone=ZONE", "Take a host off the list", "maint", false),
 		orderCommand("ready HOST|zone=ZONE", "Take back what was set on a host", "ready", false),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,8 @@
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
 	"barleysail/internal/runtimeapi"
+	"barleysail/internal/socketproxy"
+	"barleysail/steward"
 )
 
 // Daemon is a running steward.
@@ -33,6 +36,7 @@
 	record   *os.File
 	clients  []*http1.Client
 	fronts   []front
+	driven   sync.WaitGroup
 }
 
 // front is a runtime socket.
@@ -94,6 +98,7 @@
 	if err := d.runtime(c, version, log); err != nil {
 		return nil, err
 	}
+	d.drive(ctx, c, life, log)
 	d.core.do(func(float64) {})
 	log.Info().Str("listen", d.Addr()).Str("life", life).Str("version", version).Msg("steward started")
 	return d, nil
@@ -144,6 +149,30 @@
 	return nil
 }
 
+// drive drives the proxies that are told what to do by their own sockets.
+func (d *Daemon) drive(ctx context.Context, c *configpb.Config, life string, log zerolog.Logger) {
+	for _, p := range c.Sockets {
+		x := socketproxy.New(polling{d.core}, socketproxy.Config{Proxy: p.Proxy, Zone: p.Zone, Address: p.Address, Rate: p.GetRate(), Life: life,
+			Grace: *c.Guard.GraceMs, Period: ms(*c.Fleet.PeriodMs), Log: func(text string) { log.Info().Msg(text) }})
+		d.driven.Add(1)
+		go func() { defer d.driven.Done(); x.Run(ctx) }()
+	}
+}
+
+// polling is a steward as proxies of sockets poll it, from within.
+type polling struct{ core *core }
+
+func (p polling) Poll(q steward.Query, to func(steward.Answer)) (int64, error) {
+	return p.core.poll(q, to)
+}
+func (p polling) PollGone(proxy string, id int64)                 { p.core.pollGone(proxy, id) }
+func (p polling) Sums(proxy string, u steward.Sums) (bool, error) { return p.core.sums(proxy, u) }
+func (p polling) Now() float64                                    { return p.core.clock.now() }
+func (p polling) Listed(host string) (ok bool) {
+	p.core.look(func(s *steward.Steward, _ float64) { ok = s.IsListed(host) })
+	return ok
+}
+
 // listenOn listens at unix:PATH or address:port. A socket's file that nobody listens at any more is replaced.
 func listenOn(address string) (net.Listener, error) {
 	path, ok := strings.CutPrefix(address, "unix:")
@@ -190,6 +219,7 @@
 
 func (d *Daemon) close() {
 	d.cancel()
+	d.driven.Wait()
 	for _, f := range d.fronts {
 		f.listener.Close()
 		f.server.Close()
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -188,6 +188,14 @@
 	if err := d.list(); err != nil {
 		return err
 	}
+	d.start = time.Now()
+	d.service = newService(standin.Now())
+	for _, k := range d.config.Classes {
+		d.service.class(k.Name, *k.Earnings, *k.DueMs)
+	}
+	if err := d.forward(daypb.Front_SOCKET); err != nil {
+		return err
+	}
 	for i := range d.script.Stewards {
 		s, err := d.steward(int(i), "127.0.0.1:0")
 		if err != nil {
@@ -195,12 +203,7 @@
 		}
 		d.stewards, d.addresses = append(d.stewards, s), append(d.addresses, s.Addr())
 	}
-	d.start = time.Now()
-	d.service = newService(standin.Now())
-	for _, k := range d.config.Classes {
-		d.service.class(k.Name, *k.Earnings, *k.DueMs)
-	}
-	return d.forward()
+	return d.forward(daypb.Front_POLLS)
 }
 
 // steward starts one at an address.
@@ -216,8 +219,9 @@
 	return daemon.Start(c, d.version, d.log)
 }
 
-// forward makes the forwarders, the stewards dealt out to them in turn, each with a few hosts of its zone.
-func (d *day) forward() error {
+// forward makes the forwarders of a front, the stewards dealt out to them in turn, each with a few hosts of its zone.
+// All stewards are told of those with sockets, and settle among themselves who drives which.
+func (d *day) forward(front daypb.Front) error {
 	total, n := 0, 0
 	for _, g := range d.script.Forwarders {
 		total += int(g.Count)
@@ -227,6 +231,10 @@
 		classes[k.Name] = k
 	}
 	for _, g := range d.script.Forwarders {
+		if g.Front != front {
+			n += int(g.Count)
+			continue
+		}
 		var near []string
 		for _, h := range d.hosts {
 			if h.zone == g.Zone && len(near) < 4 {
@@ -238,6 +246,7 @@
 				Seed: d.script.Seed + uint64(n), Wait: 10 * time.Second, Ejects: int(*d.config.Fleet.Ejects),
 				Period:  time.Duration(*d.config.Fleet.PeriodMs * float64(time.Millisecond)),
 				Journal: d.journal, Ended: d.service.ended, Log: func(text string) { d.log.Debug().Msg(text) }}
+			set.Socket = front == daypb.Front_SOCKET
 			for i := range d.addresses {
 				set.Stewards = append(set.Stewards, "http://"+d.addresses[(n+i)%len(d.addresses)])
 			}
@@ -256,6 +265,10 @@
 				return fmt.Errorf("making a forwarder: %w", err)
 			}
 			d.forwarders = append(d.forwarders, f)
+			if set.Socket {
+				d.config.Sockets = append(d.config.Sockets, &configpb.SocketProxy{Proxy: set.Name, Zone: set.Zone, Address: f.SocketAddress(),
+					Rate: proto.Float64(set.Options().Rate)})
+			}
 			n++
 		}
 	}
--- a/internal/rehearse/steps.go
+++ b/internal/rehearse/steps.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"barleysail/internal/rehearse/daypb"
+	"barleysail/internal/standin"
 )
 
 func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
@@ -48,6 +49,25 @@
 			f.Cut(seconds(s.ForS))
 		}
 		d.say("%d forwarders lose their steward for %.1f s", n, s.ForS)
+	case daypb.What_RESTART:
+		all := d.withSockets(s.Size)
+		for _, f := range all {
+			f.SocketRestart()
+		}
+		d.say("%d forwarders start anew with their old file", len(all))
+	case daypb.What_SLOW_SOCKET, daypb.What_MUTE_SOCKET:
+		all := d.withSockets(s.Size)
+		for _, f := range all {
+			f.SocketSlow(slowSocket)
+			f.SocketMute(s.What == daypb.What_MUTE_SOCKET)
+		}
+		d.say("%d sockets answer late or not at all", len(all))
+		wait(ctx, seconds(s.ForS))
+		for _, f := range all {
+			f.SocketSlow(0)
+			f.SocketMute(false)
+		}
+		d.say("and in time again")
 	case daypb.What_LATE_SUMS:
 		d.late(seconds(s.Size))
 		d.say("sums come %.1f s late", s.Size)
@@ -57,6 +77,19 @@
 	}
 }
 
+// slowSocket is how late a slow socket answers.
+const slowSocket = 300 * time.Millisecond
+
+// withSockets gives a part of the forwarders that have one.
+func (d *day) withSockets(part float64) (all []*standin.Forwarder) {
+	for _, f := range d.forwarders {
+		if f.SocketAddress() != "" {
+			all = append(all, f)
+		}
+	}
+	return all[:min(int(part*float64(len(all))+0.5), len(all))]
+}
+
 func (d *day) late(by time.Duration) {
 	for _, f := range d.forwarders {
 		f.LateSums(by)
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -287,7 +287,7 @@
 		if used := stretch[a.steward] / f.MostWaiting; used > worst {
 			worst, seen = used, fmt.Sprintf("%.0f lines in one stretch, %.0f may wait", stretch[a.steward], f.MostWaiting)
 		}
-		if f.MessagesMost == 0 {
+		if f.MessagesMost == 0 || a.more {
 			continue
 		}
 		since, ok := joined(stays[a.proxy], a.at+0.001)
--- a/internal/rules/fold.go
+++ b/internal/rules/fold.go
@@ -141,6 +141,9 @@
 // extend puts an answer's lines to its steward's stretch.
 func extend(f Figures, a answer, stretch, last map[string]float64) {
 	cost := float64(a.lines) + f.Head + 1
+	if a.more {
+		cost = float64(a.lines)
+	}
 	pause := 2 * cost / f.LinesPerS * 1000
 	if a.at-last[a.steward] > math.Max(pause, 20) {
 		stretch[a.steward] = 0
--- a/internal/rules/journal.go
+++ b/internal/rules/journal.go
@@ -40,6 +40,7 @@
 	status  int
 	empty   []string // classes for which hosts were ordered and none is left
 	lines   int
+	more    bool // it goes on a message that began before
 }
 
 // holding is what a proxy holds: its hosts by class, where any were ordered.
@@ -109,6 +110,25 @@
 	j.arrivals = append(j.arrivals, arrival{at, work, host, proxy, id, class, ran})
 }
 
+// Holds notes what a proxy holds after a command of a steward to its socket: the hosts by class that take traffic, and
+// the lines that the command cost; more tells that it goes on a message that began before, joined false that the way to
+// the steward broke.
+func (j *Journal) Holds(at float64, proxy, steward string, lines int, more bool, hosts map[string][]string, joined bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := answer{at: at, proxy: proxy, steward: steward, status: 200, lines: lines, more: more}
+	if !joined {
+		a.status, a.lines = 0, 0
+	}
+	for class, all := range hosts {
+		if len(all) == 0 {
+			a.empty = append(a.empty, class)
+		}
+	}
+	sort.Strings(a.empty)
+	j.answers = append(j.answers, a)
+}
+
 // Answered notes what a steward answered to a poll, as bytes on the socket; status 0 that the way to it broke.
 // The tables are put together here, so that a delta that fits no base is a fault.
 func (j *Journal) Answered(at float64, proxy, steward string, status int, tag, base, held string, body []byte) {
--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -43,6 +43,7 @@
 	Log        func(string)
 	Transacted func(client.Transaction) // told to the client, for a recording; nil: none
 	Applied    func(tag string)
+	Socket     bool // tables come by a runtime socket, and it polls nobody
 }
 
 // Forwarder is a proxy: transactions come to it at random times, and it sends them where its tables say.
@@ -55,6 +56,7 @@
 	cut     time.Time // no way to a steward until then
 	late    time.Duration
 	streams map[net.Conn]bool
+	socket  *socket // nil: it polls
 }
 
 // Options are those of the client that a forwarder is built on.
@@ -77,8 +79,23 @@
 	steward := &http.Client{Transport: &tap{f, &http.Transport{DialContext: f.dial, MaxIdleConnsPerHost: 4}}}
 	var err error
 	o := set.Options()
+	if set.Socket {
+		o.Stewards = nil
+		if f.socket, err = newSocket(f); err != nil {
+			return nil, err
+		}
+		told := set.Transacted
+		set.Transacted = func(t client.Transaction) {
+			f.socket.count(t)
+			if told != nil {
+				told(t)
+			}
+		}
+	}
 	o.HTTP, o.Log, o.Ended, o.Applied = steward, set.Log, set.Transacted, set.Applied
-	f.Client, err = client.New(o)
+	if f.Client, err = client.New(o); err == nil && set.Socket {
+		f.socket.begin()
+	}
 	return f, err
 }
 
@@ -87,6 +104,10 @@
 
 // Cut breaks the streams to stewards, and keeps them broken for a time.
 func (f *Forwarder) Cut(d time.Duration) {
+	if f.socket != nil {
+		f.socket.cut(d)
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cut = time.Now().Add(d)
@@ -158,8 +179,12 @@
 // Run polls the stewards and sends traffic until the context ends; what came is carried to its end.
 func (f *Forwarder) Run(ctx context.Context) {
 	var all sync.WaitGroup
-	all.Add(1)
-	go func() { defer all.Done(); f.Client.Run(ctx) }()
+	if f.socket == nil {
+		all.Add(1)
+		go func() { defer all.Done(); f.Client.Run(ctx) }()
+	} else {
+		defer f.socket.close()
+	}
 	for i, t := range f.set.Traffic {
 		all.Add(1)
 		go func() { defer all.Done(); f.traffic(ctx, t, uint64(i), &all) }()
--- /dev/null
+++ b/publisher/publisher.go
@@ -0,0 +1,326 @@
+// Package publisher decides what a proxy that is driven by a runtime socket is told: it keeps the proxy's servers at
+// the tables decided, by commands one after the other, and takes each answer as the acknowledgement. It does no I/O
+// and reads no clock; times are ms. A class is a backend, a host a server named by its address.
+package publisher
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	"barleysail/internal/haproxy"
+	"barleysail/steward"
+)
+
+// weightMost is the largest weight of the socket.
+const weightMost = 256
+
+// Quantise gives weights from 1 to 256 for a table's, the greatest at 256 or, where an earlier scale still fits, by
+// that: then an unchanged line costs no command. None that is above 0 falls to 0. The share of each host is off by less
+// than 1 part in the sum of the weights.
+func Quantise(weights []float64, scale float64) (all []int, by float64) {
+	most := 0.0
+	for _, w := range weights {
+		most = math.Max(most, w)
+	}
+	if most <= 0 {
+		return make([]int, len(weights)), scale
+	}
+	if by = scale; !(most*by <= weightMost && most*by >= weightMost/2) {
+		by = weightMost / most
+	}
+	for _, w := range weights {
+		q := 0
+		if w > 0 {
+			q = min(max(int(math.Round(w*by)), 1), weightMost)
+		}
+		all = append(all, q)
+	}
+	return all, by
+}
+
+// server as the proxy has it.
+type server struct {
+	weight int
+	ready  bool
+	maint  bool
+	since  float64 // when it was drained, as far as that is known
+}
+
+// Proxy is what is known of one, and what it should have.
+type Proxy struct {
+	grace  float64 // a drained server is taken off after so long
+	have   map[string]map[string]server
+	want   map[string]map[string]int
+	scale  map[string]float64
+	shares map[string]float64
+	told   map[string]float64 // shares that the proxy has
+	failed map[string]int     // commands that were refused, by server: after some it is left alone until the next reading
+	out    *command           // sent, not answered
+	plan   []*command         // of the most urgent kind, in order
+	read   bool
+}
+
+// command is one that is out, and what it changes.
+type command struct {
+	text            string
+	backend, server string
+	done            func(p *Proxy, now float64)
+}
+
+// New makes the publisher of a proxy of which nothing is known.
+func New(grace float64) *Proxy {
+	return &Proxy{grace: grace, have: map[string]map[string]server{}, want: map[string]map[string]int{}, scale: map[string]float64{},
+		shares: map[string]float64{}, told: map[string]float64{}, failed: map[string]int{}}
+}
+
+// Read takes in the proxy's state, as show servers state tells it: after connecting, and now and then, since others
+// may change it too. It tells how many servers were not as they were left.
+func (p *Proxy) Read(now float64, all []haproxy.ServerState) (foreign int) {
+	fresh := map[string]map[string]server{}
+	for _, s := range all {
+		if fresh[s.Backend] == nil {
+			fresh[s.Backend] = map[string]server{}
+		}
+		x := server{weight: s.Weight, maint: s.Admin&haproxy.ForcedMaint != 0, since: now}
+		x.ready = !x.maint && s.Admin&haproxy.ForcedDrain == 0
+		if old, ok := p.have[s.Backend][s.Server]; ok {
+			x.since = old.since
+			if old.weight != x.weight || old.ready != x.ready || old.maint != x.maint {
+				foreign++
+			}
+		} else if p.read {
+			foreign++
+		}
+		fresh[s.Backend][s.Server] = x
+	}
+	for backend, servers := range p.have {
+		for name := range servers {
+			if _, ok := fresh[backend][name]; !ok {
+				foreign++
+			}
+		}
+	}
+	if !p.read {
+		foreign = 0
+	}
+	p.have, p.read, p.out, p.plan = fresh, true, nil, nil
+	clear(p.failed)
+	return foreign
+}
+
+// Lost notes that the connection is gone: nothing is known of the proxy any more but when servers were drained.
+func (p *Proxy) Lost() {
+	p.read, p.out, p.plan = false, nil, nil
+	clear(p.told)
+}
+
+// Want takes in the tables decided. A class whose hosts are not ordered keeps what it has.
+func (p *Proxy) Want(tables []steward.Table) {
+	p.plan = nil
+	for _, t := range tables {
+		p.shares[t.Class] = math.Min(t.Share, 1)
+		if !t.Ordered {
+			continue
+		}
+		weights, by := Quantise(t.Weights, p.scale[t.Class])
+		p.scale[t.Class] = by
+		w := map[string]int{}
+		for i, host := range t.Hosts {
+			w[host] = weights[i]
+		}
+		p.want[t.Class] = w
+	}
+}
+
+// Settled tells whether the proxy has what it should: what is drained and not yet taken off does not count.
+func (p *Proxy) Settled(now float64) bool {
+	if !p.read || p.out != nil {
+		return false
+	}
+	if len(p.plan) == 0 {
+		p.plan = p.next(now)
+	}
+	if len(p.plan) == 0 {
+		return true
+	}
+	c := p.plan[0]
+	return c.backend != "" && p.want[c.backend][c.server] == 0 && !p.have[c.backend][c.server].ready
+}
+
+// Next gives the command to be sent now; false where none is, or one is out.
+func (p *Proxy) Next(now float64) (text string, ok bool) {
+	if !p.read || p.out != nil {
+		return "", false
+	}
+	if len(p.plan) == 0 {
+		p.plan = p.next(now)
+	}
+	if len(p.plan) == 0 {
+		return "", false
+	}
+	p.out, p.plan = p.plan[0], p.plan[1:]
+	return p.out.text, true
+}
+
+// refusedMost commands for a server are tried before it is left alone until the next reading.
+const refusedMost = 3
+
+// next finds what is most urgent: servers to go to first, then weights, then drains, and last what is taken off. All
+// of one kind are one plan. A backend is never left without a ready server: drains wait for the others.
+func (p *Proxy) next(now float64) (plan []*command) {
+	names := map[string][]string{}
+	for backend, want := range p.want {
+		all := maps.Clone(want)
+		for name := range p.have[backend] {
+			all[name] = 0
+		}
+		names[backend] = slices.Sorted(maps.Keys(all))
+	}
+	for _, step := range []func(backend, name string, h server, has bool, want int) *command{p.come, p.weigh, p.drain,
+		func(backend, name string, h server, has bool, want int) *command {
+			return p.leave(now, backend, name, h, has, want)
+		}} {
+		for _, backend := range slices.Sorted(maps.Keys(names)) {
+			for _, name := range names[backend] {
+				if p.failed[backend+"/"+name] >= refusedMost {
+					continue
+				}
+				h, has := p.have[backend][name]
+				if c := step(backend, name, h, has, p.want[backend][name]); c != nil {
+					c.backend, c.server = backend, name
+					plan = append(plan, c)
+				}
+			}
+		}
+		if len(plan) > 0 {
+			return plan
+		}
+	}
+	for _, class := range slices.Sorted(maps.Keys(p.shares)) {
+		if share := p.shares[class]; math.Abs(share-value(p.told, class)) >= 0.0005 {
+			plan = append(plan, &command{text: fmt.Sprintf("set var proc.%s%s int(%d)", ShareVariable, class, int(math.Round(share*1000))),
+				done: func(p *Proxy, _ float64) { p.told[class] = share }})
+		}
+	}
+	return plan
+}
+
+// ShareVariable and a class name the process variable that holds the share to be let in, in thousandths, for the
+// proxy's own rules.
+const ShareVariable = "share_"
+
+func value(told map[string]float64, class string) float64 {
+	if x, ok := told[class]; ok {
+		return x
+	}
+	return -1
+}
+
+func (p *Proxy) set(backend, name string, change func(*server)) {
+	if p.have[backend] == nil {
+		p.have[backend] = map[string]server{}
+	}
+	h := p.have[backend][name]
+	change(&h)
+	p.have[backend][name] = h
+}
+
+// come adds servers, and makes those ready that should be.
+func (p *Proxy) come(backend, name string, h server, has bool, want int) *command {
+	switch {
+	case want == 0 || h.ready && !h.maint:
+		return nil
+	case !has: // an added server begins in maintenance
+		return &command{text: fmt.Sprintf("add server %s/%s %s weight %d", backend, name, name, want),
+			done: func(p *Proxy, now float64) {
+				p.set(backend, name, func(s *server) { *s = server{weight: want, maint: true, since: now} })
+			}}
+	case h.weight != want: // not first to all its old weight
+		return p.weigh(backend, name, server{weight: h.weight, ready: true}, true, want)
+	}
+	return &command{text: fmt.Sprintf("set server %s/%s state ready", backend, name),
+		done: func(p *Proxy, _ float64) { p.set(backend, name, func(s *server) { s.ready, s.maint = true, false }) }}
+}
+
+func (p *Proxy) weigh(backend, name string, h server, has bool, want int) *command {
+	if !has || want == 0 || h.weight == want || !h.ready {
+		return nil
+	}
+	return &command{text: fmt.Sprintf("set weight %s/%s %d", backend, name, want),
+		done: func(p *Proxy, _ float64) { p.set(backend, name, func(s *server) { s.weight = want }) }}
+}
+
+func (p *Proxy) drain(backend, name string, h server, has bool, want int) *command {
+	if !has || want > 0 || !h.ready || len(p.want[backend]) > 0 && !p.left(backend) {
+		return nil
+	}
+	return &command{text: fmt.Sprintf("set server %s/%s state drain", backend, name),
+		done: func(p *Proxy, now float64) {
+			p.set(backend, name, func(s *server) { s.ready, s.since = false, now })
+		}}
+}
+
+// left tells whether a server that should have traffic is ready: one whose adding was refused is not.
+func (p *Proxy) left(backend string) bool {
+	for name, w := range p.want[backend] {
+		if h := p.have[backend][name]; w > 0 && h.ready && h.weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// leave takes drained servers off once the grace is over.
+func (p *Proxy) leave(now float64, backend, name string, h server, has bool, want int) *command {
+	if !has || want > 0 || h.ready || now < h.since+p.grace {
+		return nil
+	}
+	if !h.maint {
+		return &command{text: fmt.Sprintf("set server %s/%s state maint", backend, name),
+			done: func(p *Proxy, _ float64) { p.set(backend, name, func(s *server) { s.maint = true }) }}
+	}
+	return &command{text: fmt.Sprintf("del server %s/%s", backend, name),
+		done: func(p *Proxy, _ float64) { delete(p.have[backend], name) }}
+}
+
+// said are the answers of commands that were done; all others but an empty one are refusals.
+var said = []string{"new server registered", "server deleted"}
+
+// Answered takes in the answer to the command that is out. A refusal is given as an error: the command is tried again a
+// few times, and then the server is left until the state is read anew.
+func (p *Proxy) Answered(now float64, answer string) error {
+	c := p.out
+	if p.out = nil; c == nil {
+		return nil
+	}
+	text := strings.ToLower(strings.TrimSpace(answer))
+	done := text == ""
+	for _, s := range said {
+		done = done || strings.HasPrefix(text, s)
+	}
+	if !done {
+		p.failed[c.backend+"/"+c.server]++
+		if c.backend == "" { // a share that the proxy cannot hold
+			c.done(p, now)
+		}
+		return fmt.Errorf("%s: %s", c.text, strings.TrimSpace(answer))
+	}
+	c.done(p, now)
+	return nil
+}
+
+// Due is when Next has something for the sake of time alone: a drained server's end. +Inf: never.
+func (p *Proxy) Due() float64 {
+	due := math.Inf(1)
+	for backend, servers := range p.have {
+		for name, h := range servers {
+			if w, ok := p.want[backend]; ok && w[name] == 0 && !h.ready && p.failed[backend+"/"+name] < refusedMost {
+				due = math.Min(due, h.since+p.grace)
+			}
+		}
+	}
+	return due
+}
--- a/steward/operate.go
+++ b/steward/operate.go
@@ -248,6 +248,9 @@
 	return all
 }
 
+// IsListed tells whether a host is on the list, with what operators set laid over it.
+func (s *Steward) IsListed(host string) bool { _, ok := s.list.entries[host]; return ok }
+
 // HostInfo tells how one host stands; false where there is no such host.
 func (s *Steward) HostInfo(host string) (HostInfo, bool) {
 	return s.hostInfo(host, func() (Entry, bool) {
