Table guard: tell what in a table would break something, hold back a list that loses much

Nothing looked at what is published. Package guard finds weights that are no numbers, classes without a host, hosts over their caps (also with drains gone and without the heaviest zone), cold hosts over their budget and jumps, and gives the nearest sound table. The steward tells findings in events and /v1/guard, and holds a list that loses too many hosts for half the grace at most. Off by default; refusal in place of telling is still to come.

Fixed: operators' orders with an end, or that wait, were looked at only when something else happened.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"barleysail/decide"
+	"barleysail/guard"
 	"barleysail/internal/config/configpb"
 	"barleysail/internal/runtimeapi"
 	"barleysail/steward"
@@ -34,9 +35,10 @@
 		Goal:  &configpb.Goal{Whole: p(0.75), WorstClass: p(0.1), ProbePrice: p(0.02)},
 		Polls: &configpb.Polls{StepMs: p(10), WaitMostMs: p(60000), FirstWaitMs: p(300), LeaveAfterMs: p(5000),
 			ForgetAfterMs: p(600000), History: i(32)},
-		Solved: &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
-		List:   &configpb.List{WaitMs: p(30000)},
-		Probes: &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
+		TableGuard: &configpb.TableGuard{Over: p(1), Jump: p(0.5), ListHoldMs: p(hour)},
+		Solved:     &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
+		List:       &configpb.List{WaitMs: p(30000)},
+		Probes:     &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
 		Server: &configpb.Server{Connections: i(20000), BodyBytes: i(4 << 20), IdleMs: p(120000), HeaderMs: p(10000),
 			BodyMs: p(20000), WriteMs: p(10000)},
 	}
@@ -208,6 +210,10 @@
 		f.socket(at+".address", p.Address)
 		f.within(at+".rate", p.GetRate(), 0, 1e9)
 	}
+	f.within("table_guard.over", *c.TableGuard.Over, 0, 1000)
+	f.within("table_guard.jump", *c.TableGuard.Jump, 0, 1)
+	f.within("table_guard.list_lose", c.TableGuard.ListLose, 0, 1)
+	f.within("table_guard.list_hold_ms", *c.TableGuard.ListHoldMs, 0, hour)
 	f.within("solved.every_ms", *c.Solved.EveryMs, 100, 1000*hour)
 	f.within("solved.least_gain", *c.Solved.LeastGain, 0, 1)
 	f.within("list.wait_ms", *c.List.WaitMs, 100, hour)
@@ -301,5 +307,8 @@
 	if c.Solved.On {
 		s.Solve(*c.Solved.EveryMs, *c.Solved.LeastGain)
 	}
+	if g := c.TableGuard; g.GetOn() {
+		s.Guard(guard.Limits{Over: *g.Over, Jump: *g.Jump, Spare: g.Spare}, guard.ListLimits{Lose: g.ListLose, Hold: *g.ListHoldMs})
+	}
 	return s
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -85,6 +85,11 @@
 		return jsonReply(map[string]any{"proxies": a.ops.Proxies()})
 	}})
 	m.Handle("GET", "/v1/proxies/{proxy}/holds", http1.Route{Serve: a.holds})
+	m.Handle("GET", "/v1/guard", http1.Route{Serve: func(*http1.Request) http1.Reply {
+		var r steward.GuardReport
+		a.core.look(func(s *steward.Steward, _ float64) { r = s.GuardReport() })
+		return jsonReply(r)
+	}})
 	m.Handle("GET", "/v1/events", http1.Route{Serve: a.events})
 }
 
--- /dev/null
+++ b/steward/guarding_test.go
@@ -0,0 +1,76 @@
+package steward
+
+import (
+	"strings"
+	"testing"
+
+	"barleysail/guard"
+	"barleysail/operator"
+)
+
+// A list that loses most of its hosts at once is held back, for half the grace at most, unless an operator took them
+// off; whole again it changes nothing.
+func TestListIsHeld(t *testing.T) {
+	d := open(t, settings())
+	d.Guard(guard.Limits{Jump: 0.5}, guard.ListLimits{Lose: 0.5, Hold: 60000})
+	d.list(d.hosts(4))
+	q := Query{Proxy: "p", Wait: 60000, Delta: true}
+	d.poll(q)
+	d.run(2000)
+	d.hold(q)
+	d.say("a list with one host, whole again after a second")
+	d.list(d.hosts(1))
+	d.run(1000)
+	d.list(d.hosts(4))
+	d.run(1000)
+	d.say("a list with one host that stays so")
+	d.list(d.hosts(1))
+	d.run(1490)
+	d.say("held %v", d.GuardReport().ListHeld)
+	d.run(100)
+	d.say("held %v", d.GuardReport().ListHeld)
+	d.hold(q)
+	d.list(d.hosts(4))
+	d.run(12000)
+	d.hold(q)
+	d.say("confirmed by an operator")
+	for _, h := range []string{"10.0.0.1:80", "10.0.0.2:80"} {
+		d.operate(operator.Order{Host: h, State: operator.Maint, Weight: -1})
+	}
+	d.list(d.hosts(1))
+	d.say("held %v", d.GuardReport().ListHeld)
+	d.check()
+}
+
+// Findings in tables are told once each, and nothing of them is held back: with the guard on the same is published.
+func TestGuardedTables(t *testing.T) {
+	traces := [2]string{}
+	for i := range traces {
+		d, _ := uneven(t, false)
+		if i == 1 {
+			d.Guard(guard.Limits{Over: 1, Jump: 0.3}, guard.ListLimits{})
+		}
+		n := int64(0)
+		d.work(20, 22, &n)
+		traces[i] = d.trace.String()
+		if i == 0 {
+			continue
+		}
+		r := d.GuardReport()
+		if r.Looked == 0 || r.Found[guard.Over] == 0 || len(r.Standing) == 0 {
+			t.Errorf("the small hosts are over their capacity, and the guard says %+v", r)
+		}
+		told := 0
+		for _, e := range d.Events(0) {
+			if e.Kind == "guard" && strings.HasPrefix(e.Text, guard.Over+": 10.0.0.0:80") {
+				told++
+			}
+		}
+		if told != 1 {
+			t.Errorf("told %d times", told)
+		}
+	}
+	if traces[0] != traces[1] {
+		t.Error("with the guard on something else is published")
+	}
+}
--- a/steward/operate_test.go
+++ b/steward/operate_test.go
@@ -97,3 +97,23 @@
 		t.Errorf("%+v", d.HostInfos()[:2])
 	}
 }
+
+// An order that ends or waits is looked at in time though nothing else happens.
+func TestOrdersInTheirTime(t *testing.T) {
+	d := open(t, settings())
+	d.quiet = true
+	d.list(d.hosts(4))
+	d.run(3000)
+	d.operate(operator.Order{Host: "10.0.0.0:80", State: operator.Drain, Weight: -1, For: 7500})
+	if d.Next() > d.at+7500 {
+		t.Errorf("next at %.0f of %.0f", d.Next(), d.at)
+	}
+	d.run(7400)
+	if h, _ := d.HostInfo("10.0.0.0:80"); h.Phase != "draining" {
+		t.Errorf("%+v", h)
+	}
+	d.run(101)
+	if h, _ := d.HostInfo("10.0.0.0:80"); h.Phase != "ready" {
+		t.Errorf("%+v", h)
+	}
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -86,6 +86,8 @@
 	channel channel
 
 	solved   solved
+	guarding guarding
+	multiple float64
 	book     *operator.Book
 	stepAt   float64 // when operators' orders are looked at next
 	grace    float64
@@ -114,7 +116,7 @@
 	s.module = decide.New(decide.Fleet{Instances: fleet.Instances, Zones: len(fleet.Zones), Proxies: fleet.Proxies,
 		Seed: fleet.Seed, Period: fleet.Period, Ejects: fleet.Ejects, UsualTries: fleet.UsualTries,
 		Admits: fleet.Admits, MayProbe: fleet.MayProbe, MustAsk: fleet.MustAsk}, known, channel, guard, goal)
-	s.book, s.stepAt, s.grace, s.cold = operator.New(), math.Inf(1), guard.Grace, guard.Cold
+	s.book, s.stepAt, s.grace, s.cold, s.multiple = operator.New(), math.Inf(1), guard.Grace, guard.Cold, guard.FallMultiple
 	s.hosts, s.list, s.members = newIndices(), newList(), newMembers()
 	s.tables = newTables(len(classes), fleet.UsualTries)
 	s.channel = newChannel(channel)
@@ -128,6 +130,7 @@
 	s.now, s.out = now, out
 	s.expire()
 	s.depart()
+	s.recheck()
 	if s.round.due(now) {
 		s.decide()
 		s.depart()
@@ -139,7 +142,7 @@
 
 // Next is when Advance has something to do; it may lie in the past, as at first.
 func (s *Steward) Next() float64 {
-	return math.Min(math.Min(s.round.next(), s.channel.next()), math.Min(math.Min(s.members.next(), s.list.next()), s.solved.next()))
+	return min(s.round.next(), s.channel.next(), s.members.next(), s.list.next(), s.solved.next(), s.stepAt, s.guarding.next())
 }
 
 // decide runs a round of the module.
@@ -148,6 +151,7 @@
 	s.rounds++
 	s.tables.round++
 	s.module.Round(s.now, writer{s})
+	s.look()
 	s.order()
 }
 
@@ -158,14 +162,21 @@
 	if err := s.checkList(entries); err != nil {
 		return err
 	}
+	if s.list.at, s.list.failed = now, false; s.holdsList(entries) {
+		return nil
+	}
+	s.believe(entries)
+	return nil
+}
+
+// believe takes a list for what is so.
+func (s *Steward) believe(entries []Entry) {
 	if before := len(s.list.raw); before != len(entries) || !s.list.known {
 		s.event("list", fmt.Sprintf("the list has %d hosts, before %d", len(entries), before))
 	}
 	s.list.raw = append([]Entry(nil), entries...)
-	s.list.at, s.list.failed = now, false
 	s.take(s.over(s.list.raw))
-	s.round.soon(now, s.polls.Step)
-	return nil
+	s.round.soon(s.now, s.polls.Step)
 }
 
 // ListFailed notes that the list could not be had, or that it no longer sends its changes.
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"barleysail/decide"
+	"barleysail/guard"
 )
 
 // A proxy joins, holds a poll, and gets what changed as a delta onto what it holds.
@@ -343,20 +344,27 @@
 
 // BenchmarkRounds measures rounds of decisions while sums of 20 hosts a second come from every proxy.
 func BenchmarkRounds(b *testing.B) {
-	d, list := largest()
-	b.ResetTimer()
-	for n := range b.N {
-		b.StopTimer()
-		for i := range 607 / 5 {
-			hosts := map[string]HostSums{}
-			for k := range 20 {
-				hosts[list[(i*20+n*7+k)%len(list)].Host] = HostSums{Tries: 4, Mean: 100 + float64(k), Span: 1000, Load: decide.Load{Util: 0.5, Rate: -1, Queue: -1}}
+	for _, guarded := range []bool{false, true} {
+		b.Run(fmt.Sprintf("guarded=%v", guarded), func(b *testing.B) {
+			d, list := largest()
+			if guarded {
+				d.Guard(guard.Limits{Over: 1, Jump: 0.5, Spare: true}, guard.ListLimits{})
 			}
-			d.Sums(d.at, fmt.Sprint("p", (n%5)*121+i), Sums{Number: int64(n + 1), Hosts: hosts})
-		}
-		b.StartTimer()
-		d.run(200)
-		d.trace.Reset()
+			b.ResetTimer()
+			for n := range b.N {
+				b.StopTimer()
+				for i := range 607 / 5 {
+					hosts := map[string]HostSums{}
+					for k := range 20 {
+						hosts[list[(i*20+n*7+k)%len(list)].Host] = HostSums{Tries: 4, Mean: 100 + float64(k), Span: 1000, Load: decide.Load{Util: 0.5, Rate: -1, Queue: -1}}
+					}
+					d.Sums(d.at, fmt.Sprint("p", (n%5)*121+i), Sums{Number: int64(n + 1), Hosts: hosts})
+				}
+				b.StartTimer()
+				d.run(200)
+				d.trace.Reset()
+			}
+		})
 	}
 }
 
