Sum in order wherever a decision hangs on it; one draw for replays, one list reader

Read again: guard, solver and replay summed weights in the order of a map, so the last digit, and with it a test of the guard at a limit, could differ from run to run; the reckoning beside it did the same and gave unlisted hosts a zone. Sums now go by name. A replay's recorded tables are steward tables, read by the type that describes differences, and both draws use one; lists from records are read in one place; a host's factor too. The guard deals the demand out once a look instead of twice or thrice, and its check without a zone is its check of caps.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -86,10 +86,11 @@
 	c.numbers()
 	c.empty()
 	if l.Over > 0 {
-		c.load(Over, c.loads(v.Next, ""))
-		c.cold(c.loads(v.Next, ""))
+		load := c.loads("")
+		c.load(Over, load, "")
+		c.cold(load)
 		if l.Spare {
-			c.spare()
+			c.spare(load)
 		}
 	}
 	if l.Jump > 0 {
@@ -150,13 +151,13 @@
 	}
 }
 
-// loads deals the demand out by tables, without the hosts of a zone.
-func (c *checker) loads(t Tables, without string) map[string]float64 {
+// loads deals the demand out by the next tables, without the hosts of a zone.
+func (c *checker) loads(without string) map[string]float64 {
 	load := map[string]float64{}
 	for _, k := range c.v.Classes {
 		for _, z := range c.v.Zones {
 			sum := 0.0
-			row := t[k.Name][z]
+			row := c.v.Next[k.Name][z]
 			names := slices.Sorted(maps.Keys(row))
 			for _, host := range names {
 				if w := row[host]; good(w) && (without == "" || c.hosts[host].Zone != without) {
@@ -193,12 +194,13 @@
 	return asked <= all
 }
 
-func (c *checker) load(check string, load map[string]float64) {
-	if !c.room("") {
+// load: hosts that are given more than their caps allow, without those of a zone.
+func (c *checker) load(check string, load map[string]float64, without string) {
+	if !c.room(without) {
 		return
 	}
 	for _, h := range c.v.Hosts {
-		if limit := h.Cap * c.l.Over; h.Cap > 0 && h.Ready && load[h.Name] > limit {
+		if limit := h.Cap * c.l.Over; (without == "" || h.Zone != without) && h.Cap > 0 && h.Ready && load[h.Name] > limit {
 			c.find(check, h.Name, load[h.Name], limit)
 		}
 	}
@@ -213,10 +215,12 @@
 }
 
 // spare: what the others get when the zone that carries most is lost.
-func (c *checker) spare() {
-	load, by := c.loads(c.v.Next, ""), map[string]float64{}
-	for host, l := range load {
-		by[c.hosts[host].Zone] += l
+func (c *checker) spare(load map[string]float64) {
+	by := map[string]float64{}
+	for _, host := range slices.Sorted(maps.Keys(load)) {
+		if h, ok := c.hosts[host]; ok { // one that is not listed has no zone
+			by[h.Zone] += load[host]
+		}
 	}
 	worst := ""
 	for _, z := range slices.Sorted(maps.Keys(by)) {
@@ -224,24 +228,18 @@
 			worst = z
 		}
 	}
-	if worst == "" || !c.room(worst) {
-		return
-	}
-	rest := c.loads(c.v.Next, worst)
-	for _, h := range c.v.Hosts {
-		if limit := h.Cap * c.l.Over; h.Zone != worst && h.Cap > 0 && h.Ready && rest[h.Name] > limit {
-			c.find(Spare, h.Name, rest[h.Name], limit)
-		}
+	if worst != "" {
+		c.load(Spare, c.loads(worst), worst)
 	}
 }
 
 // shares are the parts of a row's weights, of hosts that may stay.
 func (c *checker) shares(row map[string]float64) map[string]float64 {
 	sum, part := 0.0, map[string]float64{}
-	for host, w := range row {
-		if h, ok := c.hosts[host]; ok && h.Ready && good(w) {
-			sum += w
-			part[host] = w
+	for _, host := range slices.Sorted(maps.Keys(row)) {
+		if h, ok := c.hosts[host]; ok && h.Ready && good(row[host]) {
+			sum += row[host]
+			part[host] = row[host]
 		}
 	}
 	for host := range part {
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -25,18 +25,28 @@
 		}
 		return Host{}, false
 	}
+	// lines in the order of their hosts, since a sum in another order may lie on the other side of a limit
+	lines := func(row map[string]float64) (names []string) {
+		for name := range row {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		return names
+	}
 	// what each host is given when the hosts of a zone are gone
 	given := func(gone string) map[string]float64 {
 		out := map[string]float64{}
 		for _, k := range v.Classes {
 			for _, z := range v.Zones {
 				total := 0.0
-				for name, w := range v.Next[k.Name][z] {
+				for _, name := range lines(v.Next[k.Name][z]) {
+					w := v.Next[k.Name][z][name]
 					if h, _ := host(name); ok(w) && (gone == "" || h.Zone != gone) {
 						total += w
 					}
 				}
-				for name, w := range v.Next[k.Name][z] {
+				for _, name := range lines(v.Next[k.Name][z]) {
+					w := v.Next[k.Name][z][name]
 					if h, _ := host(name); total > 0 && ok(w) && (gone == "" || h.Zone != gone) {
 						out[name] += v.Demand[k.Name][z] * k.Work / 1000 * w / total
 					}
@@ -81,9 +91,10 @@
 		now := given("")
 		heaviest, most := "", -1.0
 		by := map[string]float64{}
-		for name, x := range now {
-			h, _ := host(name)
-			by[h.Zone] += x
+		for _, name := range lines(now) {
+			if h, there := host(name); there { // one that is not listed has no zone
+				by[h.Zone] += now[name]
+			}
 		}
 		var zones []string
 		for z := range by {
@@ -113,7 +124,8 @@
 			for _, z := range v.Zones {
 				part := func(t Tables) (map[string]float64, bool) {
 					sum, out := 0.0, map[string]float64{}
-					for name, w := range t[k.Name][z] {
+					for _, name := range lines(t[k.Name][z]) {
+						w := t[k.Name][z][name]
 						if h, there := host(name); there && h.Ready && ok(w) {
 							out[name], sum = w, sum+w
 						}
--- a/internal/record/inputs.go
+++ b/internal/record/inputs.go
@@ -21,6 +21,16 @@
 	return &recordpb.Record{At: at, What: &recordpb.Record_Listed{Listed: l}}
 }
 
+// Entries gives a recorded list.
+func Entries(l *recordpb.Listed) []steward.Entry {
+	var entries []steward.Entry
+	for _, h := range l.Hosts {
+		entries = append(entries, steward.Entry{Host: h.Address, Zone: h.Zone, Phase: decide.Phase(h.Phase),
+			Weight: h.Weight, Started: h.Started, Cores: h.Cores, Speed: h.Speed})
+	}
+	return entries
+}
+
 // ListFailed records that the list could not be had.
 func ListFailed(at float64) *recordpb.Record {
 	return &recordpb.Record{At: at, What: &recordpb.Record_ListFailed{ListFailed: true}}
@@ -125,12 +135,7 @@
 func Feed(s *steward.Steward, r *recordpb.Record, out steward.Out) error {
 	switch x := r.What.(type) {
 	case *recordpb.Record_Listed:
-		var entries []steward.Entry
-		for _, h := range x.Listed.Hosts {
-			entries = append(entries, steward.Entry{Host: h.Address, Zone: h.Zone, Phase: decide.Phase(h.Phase),
-				Weight: h.Weight, Started: h.Started, Cores: h.Cores, Speed: h.Speed})
-		}
-		s.Listed(r.At, entries)
+		s.Listed(r.At, Entries(x.Listed))
 	case *recordpb.Record_ListFailed:
 		s.ListFailed(r.At)
 	case *recordpb.Record_Poll:
--- a/replay/coupling.go
+++ b/replay/coupling.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 
 	"barleysail/internal/record/recordpb"
 	"barleysail/steward"
@@ -17,15 +18,10 @@
 // going is what a proxy went by in the record: weights by class and host, and the shares let in.
 type going struct {
 	known   bool // since a whole document
-	classes map[string]*goingBy
+	classes map[string]*steward.Table
 	waiting []*recordpb.Published // documents on their way
 }
 
-type goingBy struct {
-	weights map[string]float64
-	share   float64
-}
-
 // goingMost documents may be on their way to a proxy; before that it has taken one.
 const goingMost = 64
 
@@ -56,42 +52,64 @@
 }
 
 func (g *going) take(p *recordpb.Published) {
-	var d struct {
-		Tables map[string]struct {
-			Hosts map[string]*float64 `json:"hosts"`
-			Share *float64            `json:"share"`
-		} `json:"tables"`
-	}
+	var d tables
 	whole := steward.Kind(p.Kind) == steward.Whole
 	if err := json.Unmarshal(p.Body, &d); err != nil {
 		g.known = false // format 1 has no documents
 		return
 	}
 	g.known = g.known || whole
-	for class, t := range d.Tables {
-		c := g.classes[class]
-		if c == nil {
-			c = &goingBy{weights: map[string]float64{}, share: 1}
-			g.classes[class] = c
+	for class, change := range d.Tables {
+		t := g.classes[class]
+		if t == nil {
+			t = &steward.Table{Share: 1}
+			g.classes[class] = t
+		}
+		if change.Share != nil {
+			t.Share = *change.Share
 		}
-		if t.Share != nil {
-			c.share = *t.Share
+		if whole && change.Hosts != nil {
+			t.Hosts, t.Weights = nil, nil
 		}
-		if whole && t.Hosts != nil {
-			clear(c.weights)
+		for host, w := range change.Hosts {
+			setWeight(t, host, w)
 		}
-		for host, w := range t.Hosts {
-			if w == nil {
-				delete(c.weights, host)
-			} else {
-				c.weights[host] = *w
-			}
+	}
+}
+
+// setWeight puts a line into a table, or with nil takes it out; the hosts stay in order.
+func setWeight(t *steward.Table, host string, w *float64) {
+	i, has := slices.BinarySearch(t.Hosts, host)
+	switch {
+	case w == nil && has:
+		t.Hosts, t.Weights = slices.Delete(t.Hosts, i, i+1), slices.Delete(t.Weights, i, i+1)
+	case w != nil && has:
+		t.Weights[i] = *w
+	case w != nil:
+		t.Hosts, t.Weights = slices.Insert(t.Hosts, i, host), slices.Insert(t.Weights, i, *w)
+	}
+}
+
+// weight of a host in a table, 0 where it has none.
+func weight(t *steward.Table, host string) float64 {
+	if i, has := slices.BinarySearch(t.Hosts, host); has {
+		return t.Weights[i]
+	}
+	return 0
+}
+
+// total weight of a table's hosts that are not out.
+func total(t *steward.Table, out func(host string) bool) (sum float64) {
+	for i, host := range t.Hosts {
+		if !out(host) {
+			sum += t.Weights[i]
 		}
 	}
+	return sum
 }
 
 // by gives what the proxy went by for a class, nil where that is not known.
-func (g *going) by(class string) *goingBy {
+func (g *going) by(class string) *steward.Table {
 	if !g.known {
 		return nil
 	}
@@ -99,12 +117,12 @@
 }
 
 // letIn tells whether a transaction is let in, by what became of it in the record.
-func (e *engine) letIn(share float64, old *goingBy, was bool) bool {
+func (e *engine) letIn(share float64, old *steward.Table, was bool) bool {
 	x, part := e.chance(), math.Min(share, 1)
 	if old == nil {
 		return x < part
 	}
-	before := math.Min(old.share, 1)
+	before := math.Min(old.Share, 1)
 	if was {
 		return before <= 0 || x*before < part
 	}
@@ -112,53 +130,55 @@
 }
 
 // draw draws a host by weight, none that is out, by the host that the recorded draw fell on; "": it is not known.
-func (e *engine) draw(t steward.Table, old *goingBy, was string, out func(host string) bool) (string, bool) {
-	if old == nil || was == "" || !(old.weights[was] > 0) || out(was) {
+func (e *engine) draw(t, old *steward.Table, was string, out func(host string) bool) (string, bool) {
+	if old == nil || was == "" || !(weight(old, was) > 0) || out(was) {
 		return e.pick(t, out)
 	}
-	before, now, here := 0.0, 0.0, 0.0
-	for host, w := range old.weights {
-		if !out(host) {
-			before += w
-		}
-	}
-	for i, host := range t.Hosts {
-		if !out(host) {
-			now += t.Weights[i]
-			if host == was {
-				here = t.Weights[i]
-			}
-		}
-	}
+	before, now := total(old, out), total(t, out)
 	if now <= 0 {
 		return "", false
 	}
-	if e.chance()*old.weights[was]/before < here/now {
+	if e.chance()*weight(old, was)/before < weight(t, was)/now {
 		return was, true
 	}
-	more := func(i int) float64 { // what the new table has over the old one of a host
+	host, ok := e.choose(t.Hosts, func(i int) float64 { // what the new table has over the old one of a host
 		if out(t.Hosts[i]) {
 			return 0
 		}
-		return math.Max(t.Weights[i]/now-old.weights[t.Hosts[i]]/before, 0)
-	}
-	total := 0.0
-	for i := range t.Hosts {
-		total += more(i)
-	}
-	if total <= 0 {
+		return math.Max(t.Weights[i]/now-weight(old, t.Hosts[i])/before, 0)
+	})
+	if !ok {
 		return e.pick(t, out)
 	}
-	at, last := e.chance()*total, ""
-	for i, host := range t.Hosts {
-		m := more(i)
-		if m <= 0 {
+	return host, true
+}
+
+// pick draws a host by weight, none that is out.
+func (e *engine) pick(t *steward.Table, out func(host string) bool) (string, bool) {
+	return e.choose(t.Hosts, func(i int) float64 {
+		if out(t.Hosts[i]) {
+			return 0
+		}
+		return t.Weights[i]
+	})
+}
+
+// choose draws a host by weights above 0; false where none is.
+func (e *engine) choose(hosts []string, weight func(i int) float64) (last string, ok bool) {
+	sum := 0.0
+	for i := range hosts {
+		sum += weight(i)
+	}
+	at := e.chance() * sum
+	for i, host := range hosts {
+		w := weight(i)
+		if w <= 0 {
 			continue
 		}
-		if last = host; at < m {
+		if last, ok = host, true; at < w {
 			break
 		}
-		at -= m
+		at -= w
 	}
-	return last, true
+	return last, ok
 }
--- a/replay/other.go
+++ b/replay/other.go
@@ -251,7 +251,7 @@
 	p := e.proxies[name]
 	if p == nil {
 		p = &proxy{name: name, zone: zone, tables: map[string]steward.Table{}, since: e.now, shunned: map[string]shun{},
-			repeats: map[string]bool{}, going: going{classes: map[string]*goingBy{}}}
+			repeats: map[string]bool{}, going: going{classes: map[string]*steward.Table{}}}
 		p.begin()
 		e.ways(p)
 		e.proxies[name] = p
@@ -335,20 +335,15 @@
 }
 
 func (l *life) listed(list *recordpb.Listed) {
-	var entries []steward.Entry
-	seen := map[string]rules.Listed{}
-	for _, h := range list.Hosts {
-		entries = append(entries, steward.Entry{Host: h.Address, Zone: h.Zone, Phase: decide.Phase(h.Phase), Weight: h.Weight,
-			Started: h.Started, Cores: h.Cores, Speed: h.Speed})
-		seen[h.Address] = rules.Listed{Ready: decide.Phase(h.Phase) == decide.Ready, Started: h.Started}
-		fit := l.e.scan.model.Host(h.Address)
-		l.e.journal.Capacity(h.Address, float64(fit.Cores)/fit.Speed)
-	}
-	l.e.journal.Gave(l.e.now, seen)
+	entries, seen := record.Entries(list), map[string]rules.Listed{}
 	l.e.listed = map[string]listedHost{}
 	for _, x := range entries {
-		l.e.listed[x.Host] = listedHost{x.Zone, x.Phase == decide.Ready}
+		ready := x.Phase == decide.Ready
+		l.e.listed[x.Host], seen[x.Host] = listedHost{x.Zone, ready}, rules.Listed{Ready: ready, Started: x.Started}
+		fit := l.e.scan.model.Host(x.Host)
+		l.e.journal.Capacity(x.Host, float64(fit.Cores)/fit.Speed)
 	}
+	l.e.journal.Gave(l.e.now, seen)
 	l.steward.Listed(l.e.now, entries)
 }
 
--- a/replay/response/cells.go
+++ b/replay/response/cells.go
@@ -161,11 +161,11 @@
 
 // slowness is how many times longer than usual for the host its work took. Between slowTaken and its inverse it is
 // taken for chance: the transactions' own work differs, and each has what is known of its.
-func (c *cell) slowness() float64 {
-	if c.slow == 0 || c.slow < slowTaken && c.slow > 1/slowTaken {
+func slowness(slow float64) float64 {
+	if slow == 0 || slow < slowTaken && slow > 1/slowTaken {
 		return 1
 	}
-	return c.slow
+	return slow
 }
 
 const slowTaken = 1.4
--- a/replay/response/model.go
+++ b/replay/response/model.go
@@ -201,12 +201,12 @@
 		if c == nil || c.state() == unseen {
 			continue
 		}
-		s, slow = c.state(), c.slowness()
+		s, slow = c.state(), slowness(c.slow)
 		if k == i && s == alive {
 			s = r.turning(i, t)
 		}
 		if m.pass == asking && k >= r.settled && r.last > 0 && i-r.seen < reach { // not settled: as it last was
-			slow = (&cell{slow: r.last}).slowness()
+			slow = slowness(r.last)
 		}
 		return s, slow, k == i
 	}
--- a/replay/transactions.go
+++ b/replay/transactions.go
@@ -20,7 +20,7 @@
 	due      float64
 	id       string
 	tried    []string
-	old      *goingBy        // what the proxy went by in the record, nil: not known
+	old      *steward.Table  // what the proxy went by in the record, nil: not known
 	recorded []*recordpb.Try // the tries of the record
 	tries    int
 	ran      int // tries that ran, or may have
@@ -97,11 +97,10 @@
 
 // try makes a try by the proxy's present table, at a host that was not tried.
 func (e *engine) try(p *proxy, x *carried) {
-	host, ok := e.draw(p.tables[x.class], x.old, x.was(), func(host string) bool {
-		return slices.Contains(x.tried, host) || e.now < p.shunned[host].until
-	})
+	table, tried := p.tables[x.class], func(host string) bool { return slices.Contains(x.tried, host) }
+	host, ok := e.draw(&table, x.old, x.was(), func(host string) bool { return tried(host) || e.now < p.shunned[host].until })
 	if !ok {
-		host, ok = e.pick(p.tables[x.class], func(host string) bool { return slices.Contains(x.tried, host) })
+		host, ok = e.pick(&table, tried)
 	}
 	if !ok {
 		e.lost(p, x)
@@ -189,24 +188,3 @@
 		p.sums.Usage[x.class] = u
 	}
 }
-
-// pick draws a host by weight, none that is out.
-func (e *engine) pick(t steward.Table, out func(host string) bool) (string, bool) {
-	total := 0.0
-	for i, host := range t.Hosts {
-		if !out(host) {
-			total += t.Weights[i]
-		}
-	}
-	at, last, found := e.chance()*total, "", false
-	for i, host := range t.Hosts {
-		if out(host) {
-			continue
-		}
-		if last, found = host, true; at < t.Weights[i] {
-			break
-		}
-		at -= t.Weights[i]
-	}
-	return last, found
-}
--- a/replay/transactions_test.go
+++ b/replay/transactions_test.go
@@ -20,7 +20,7 @@
 	if !p.repeats["sheet"] || p.repeats["finish"] {
 		t.Errorf("repeats %v", p.repeats)
 	}
-	table := steward.Table{Hosts: []string{"x", "y"}, Weights: []float64{1, 1}}
+	table := &steward.Table{Hosts: []string{"x", "y"}, Weights: []float64{1, 1}}
 	shunned := func(now float64) func(string) bool {
 		return func(host string) bool { return now < p.shunned[host].until }
 	}
@@ -36,10 +36,10 @@
 			t.Fatalf("%s picked while x is shunned", host)
 		}
 	}
-	if _, ok := e.pick(steward.Table{Hosts: []string{"x"}, Weights: []float64{1}}, shunned(1029)); ok {
+	if _, ok := e.pick(&steward.Table{Hosts: []string{"x"}, Weights: []float64{1}}, shunned(1029)); ok {
 		t.Error("picked where only a shunned host is left, before the second draw")
 	}
-	if host, _ := e.pick(steward.Table{Hosts: []string{"x"}, Weights: []float64{1}}, shunned(1031)); host != "x" {
+	if host, _ := e.pick(&steward.Table{Hosts: []string{"x"}, Weights: []float64{1}}, shunned(1031)); host != "x" {
 		t.Error("still shunned")
 	}
 }
@@ -47,13 +47,13 @@
 // Draws go by the new table whatever the old one was, and stay where they fell as far as both allow.
 func TestCoupling(t *testing.T) {
 	e := &engine{}
-	old := &goingBy{weights: map[string]float64{"x": 3, "y": 1, "z": 1}, share: 0.5}
+	old := &steward.Table{Hosts: []string{"x", "y", "z"}, Weights: []float64{3, 1, 1}, Share: 0.5}
 	for _, c := range []struct {
 		hosts   []string
 		weights []float64
 		stays   float64 // 1 less half the distance of the two
 	}{{[]string{"x", "y", "z"}, []float64{6, 2, 2}, 1}, {[]string{"x", "y"}, []float64{1, 4}, 0.4}, {[]string{"v", "z"}, []float64{1, 1}, 0.2}} {
-		table, total := steward.Table{Hosts: c.hosts, Weights: c.weights}, 0.0
+		table, total := &steward.Table{Hosts: c.hosts, Weights: c.weights}, 0.0
 		for _, w := range c.weights {
 			total += w
 		}
@@ -92,7 +92,7 @@
 
 // Documents are taken in when the proxy tells so, deltas onto what it holds; an unknown version leaves all unknown.
 func TestGoing(t *testing.T) {
-	g := going{classes: map[string]*goingBy{}}
+	g := going{classes: map[string]*steward.Table{}}
 	doc := func(kind steward.Kind, tag, body string) {
 		g.published(&recordpb.Published{Kind: int32(kind), Tag: tag, Body: []byte(body)})
 	}
@@ -102,11 +102,11 @@
 		t.Error("known before it was applied")
 	}
 	g.applied("1")
-	if c := g.by("sheet"); c == nil || c.weights["x"] != 1 || c.share != 1 {
+	if c := g.by("sheet"); c == nil || weight(c, "x") != 1 || c.Share != 1 {
 		t.Errorf("%+v", c)
 	}
 	g.applied("2")
-	if c := g.by("sheet"); len(c.weights) != 2 || c.weights["z"] != 0.5 || c.share != 0.3 {
+	if c := g.by("sheet"); len(c.Hosts) != 2 || weight(c, "z") != 0.5 || c.Share != 0.3 {
 		t.Errorf("%+v", c)
 	}
 	if g.applied("9"); g.by("sheet") != nil {
--- a/solver/plan.go
+++ b/solver/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -311,21 +312,17 @@
 			in = 1
 		}
 		for z, zone := range p.Zones {
-			sum := 0.0
-			for _, w := range t.Weights[k.Name][zone] {
-				sum += w
+			row, sum := t.Weights[k.Name][zone], 0.0
+			for _, host := range slices.Sorted(maps.Keys(row)) { // in order, so that the sum is the same each time
+				sum += row[host]
 			}
 			for _, h := range p.Hosts {
-				w := t.Weights[k.Name][zone][h.Name]
+				w := row[h.Name]
 				if w <= 0 || sum <= 0 {
 					continue
 				}
-				f, ok := h.Factor[k.Name]
-				if !ok {
-					f = 1
-				}
 				rate := p.demand(c, z) * math.Min(in, 1) * w / sum
-				load[h.Name] += rate * k.Work / 1000 * f
+				load[h.Name] += rate * k.Work / 1000 * h.factor(k.Name)
 				all = append(all, flow{k.Name, h.Name, rate, h.Zone != zone})
 			}
 		}
--- a/solver/problem.go
+++ b/solver/problem.go
@@ -47,6 +47,14 @@
 	Factor   map[string]float64 // by class: its work here against that at other hosts of the speed; absent: 1
 }
 
+// factor is what a class's work is here against that at other hosts of the speed.
+func (h Host) factor(class string) float64 {
+	if f, ok := h.Factor[class]; ok {
+		return f
+	}
+	return 1
+}
+
 // Prices and weights of the goal, as parts of the result.
 type Goal struct {
 	Whole, WorstClass float64
@@ -214,10 +222,7 @@
 		g := group{zone: zone[h.Zone], factor: make([]float64, len(p.Classes))}
 		key := h.Zone
 		for c, k := range p.Classes {
-			g.factor[c] = 1
-			if f, ok := h.Factor[k.Name]; ok {
-				g.factor[c] = f
-			}
+			g.factor[c] = h.factor(k.Name)
 			key += fmt.Sprintf("/%g", g.factor[c])
 		}
 		if p.Goal.Connect > 0 && len(p.Hosts) <= connectsSingly {
--- a/solver/solve.go
+++ b/solver/solve.go
@@ -513,10 +513,9 @@
 
 // Verify reckons a solution's bounds anew, from its weights and shares alone.
 func (p *Problem) Verify(s *Solution) error {
-	load, caps, names := map[string]float64{}, map[string]float64{}, []string{}
-	factor := map[string]map[string]float64{}
+	load, caps, names, hosts := map[string]float64{}, map[string]float64{}, []string{}, map[string]Host{}
 	for _, h := range p.Hosts {
-		caps[h.Name], factor[h.Name] = p.HostCap(h), h.Factor
+		caps[h.Name], hosts[h.Name] = p.HostCap(h), h
 		names = append(names, h.Name)
 	}
 	for c, k := range p.Classes {
@@ -526,12 +525,8 @@
 				if w < 0 || math.IsNaN(w) {
 					return fmt.Errorf("%w: %s has the weight %g", ErrBroken, host, w)
 				}
-				f, ok := factor[host][k.Name]
-				if !ok {
-					f = 1
-				}
 				sum += w
-				load[host] += w * d * k.Work / 1000 * f
+				load[host] += w * d * k.Work / 1000 * hosts[host].factor(k.Name)
 			}
 			if d > 1e-9 && math.Abs(sum-1) > 1e-6 {
 				return fmt.Errorf("%w: the weights of %s in %s sum to %g", ErrBroken, k.Name, zone, sum)
