Say twice-written things once: drains counted, demand, plans, ids, requests, JSON

Looked up once instead of for each row: backend ids of show servers state, an order that waits for a host; the runtime commands are made once a server. Gone: a field and two parameters that nothing read, a time that Status gave.

--- a/cmd/barleysail/operate.go
+++ b/cmd/barleysail/operate.go
@@ -117,12 +117,14 @@
 
 func (r *remote) hosts(ctx context.Context) ([]steward.HostInfo, error) {
 	var x struct{ Hosts []steward.HostInfo }
-	return x.Hosts, r.do(ctx, "GET", "/v1/hosts", nil, &x)
+	err := r.do(ctx, "GET", "/v1/hosts", nil, &x)
+	return x.Hosts, err
 }
 
 func (r *remote) proxies(ctx context.Context) ([]steward.ProxyInfo, error) {
 	var x struct{ Proxies []steward.ProxyInfo }
-	return x.Proxies, r.do(ctx, "GET", "/v1/proxies", nil, &x)
+	err := r.do(ctx, "GET", "/v1/proxies", nil, &x)
+	return x.Proxies, err
 }
 
 func (r *remote) events(ctx context.Context, after int64, wait int) ([]steward.Event, error) {
@@ -141,16 +143,21 @@
 }
 
 func (r *remote) holds(ctx context.Context, proxy string) (h holding, err error) {
-	return h, r.do(ctx, "GET", "/v1/proxies/"+url.PathEscape(proxy)+"/holds", nil, &h)
+	err = r.do(ctx, "GET", "/v1/proxies/"+url.PathEscape(proxy)+"/holds", nil, &h)
+	return h, err
+}
+
+func printJSON(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
 }
 
 // table prints rows in the form that is asked for.
 func table(out io.Writer, form string, head []string, rows [][]string, whole any) error {
 	switch form {
 	case "json":
-		e := json.NewEncoder(out)
-		e.SetIndent("", "  ")
-		return e.Encode(whole)
+		return printJSON(out, whole)
 	case "csv":
 		w := csv.NewWriter(out)
 		w.Write(head)
--- a/cmd/barleysail/replay.go
+++ b/cmd/barleysail/replay.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -255,9 +254,7 @@
 				return err
 			}
 			if asJSON {
-				e := json.NewEncoder(c.OutOrStdout())
-				e.SetIndent("", "  ")
-				return e.Encode(s)
+				return printJSON(c.OutOrStdout(), s)
 			}
 			show(c.OutOrStdout(), s)
 			d.faults(c.OutOrStdout())
--- a/cmd/barleysail/solve.go
+++ b/cmd/barleysail/solve.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
+	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -22,14 +19,11 @@
 	var doubt solver.Doubt
 	c := &cobra.Command{Use: "solve FLEET", Short: "The weights and shares that earn most on a fleet, by file or by a running steward's URL", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			p, err := fleet(args[0])
-			if err != nil {
-				return err
-			}
-			sure, err := p.Solve()
+			p, err := fleet(c.Context(), args[0])
 			if err != nil {
 				return err
 			}
+			sure := *p
 			p.Doubt = doubt
 			s, err := p.Solve()
 			if err != nil {
@@ -39,12 +33,14 @@
 				return err
 			}
 			if asJSON {
-				e := json.NewEncoder(c.OutOrStdout())
-				e.SetIndent("", "  ")
-				return e.Encode(s)
+				return printJSON(c.OutOrStdout(), s)
 			}
 			printSolution(c.OutOrStdout(), p, s)
 			if doubt.Spread > 0 {
+				sure, err := sure.Solve()
+				if err != nil {
+					return err
+				}
 				fmt.Fprintf(c.OutOrStdout(), "\nagainst %d hosts with %.0f%% less than stated: costs %.4f of the result, and leaves %.2f a second at risk\n",
 					doubt.Worst, 100*doubt.Spread, sure.Result-s.Result, s.AtRisk)
 			}
@@ -57,27 +53,14 @@
 }
 
 // fleet reads a fleet file, or asks a running steward.
-func fleet(from string) (*solver.Problem, error) {
+func fleet(ctx context.Context, from string) (*solver.Problem, error) {
 	if !strings.HasPrefix(from, "http://") && !strings.HasPrefix(from, "https://") {
 		p, _, err := config.LoadFleet(from)
 		return p, err
 	}
-	client := &http.Client{Timeout: 10 * time.Second}
-	r, err := client.Get(strings.TrimRight(from, "/") + "/v1/fleet")
-	if err != nil {
-		return nil, fmt.Errorf("asking the steward for its fleet: %w", err)
-	}
-	defer r.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
-	if err != nil {
-		return nil, fmt.Errorf("reading the fleet: %w", err)
-	}
-	if r.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("the steward answered %s: %s", r.Status, bytes.TrimSpace(body))
-	}
 	p := &solver.Problem{}
-	if err := json.Unmarshal(body, p); err != nil {
-		return nil, fmt.Errorf("reading the fleet: %w", err)
+	if err := newRemote(from).do(ctx, "GET", "/v1/fleet", nil, p); err != nil {
+		return nil, err
 	}
 	return p, nil
 }
--- a/cmd/barleysail/whatif.go
+++ b/cmd/barleysail/whatif.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -190,9 +189,7 @@
 		}
 	}
 	if w.json {
-		e := json.NewEncoder(out)
-		e.SetIndent("", "  ")
-		return e.Encode(map[string]any{"comparison": finite(c), "same": one, "other": other})
+		return printJSON(out, map[string]any{"comparison": finite(c), "same": one, "other": other})
 	}
 	w.print(out, one, other, c)
 	return nil
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -239,9 +239,10 @@
 	}
 }
 
-// look reads something out of the steward.
-func (c *core) look(f func(s *steward.Steward, now float64)) {
-	c.do(func(now float64) { f(c.steward, now) })
+// look reads something out of the steward; the zero value once it is stopped.
+func look[T any](c *core, f func(s *steward.Steward) T) (x T) {
+	c.do(func(float64) { x = f(c.steward) })
+	return x
 }
 
 func (c *core) status() (st steward.Status) {
@@ -265,10 +266,7 @@
 	return g
 }
 
-func (c *core) fleet() (p *solver.Problem) {
-	c.do(func(float64) { p = c.steward.Fleet() })
-	return p
-}
+func (c *core) fleet() *solver.Problem { return look(c, (*steward.Steward).Fleet) }
 
 // stop ends all calls; with release the polls that are held are answered first.
 func (c *core) stop(release bool) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"net"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -168,16 +167,15 @@
 func (p polling) PollGone(proxy string, id int64)                 { p.core.pollGone(proxy, id) }
 func (p polling) Sums(proxy string, u steward.Sums) (bool, error) { return p.core.sums(proxy, u) }
 func (p polling) Now() float64                                    { return p.core.clock.now() }
-func (p polling) Listed(host string) (ok bool) {
-	p.core.look(func(s *steward.Steward, _ float64) { ok = s.IsListed(host) })
-	return ok
+func (p polling) Listed(host string) bool {
+	return look(p.core, func(s *steward.Steward) bool { return s.IsListed(host) })
 }
 
 // listenOn listens at unix:PATH or address:port. A socket's file that nobody listens at any more is replaced.
 func listenOn(address string) (net.Listener, error) {
-	path, ok := strings.CutPrefix(address, "unix:")
-	if !ok {
-		return net.Listen("tcp", address)
+	network, path := socketproxy.Network(address)
+	if network == "tcp" {
+		return net.Listen(network, path)
 	}
 	if c, err := net.Dial("unix", path); err == nil {
 		c.Close()
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -20,34 +20,25 @@
 }
 
 // Hosts tells how the hosts stand.
-func (o *Operators) Hosts() (all []steward.HostInfo) {
-	o.core.look(func(s *steward.Steward, _ float64) { all = s.HostInfos() })
-	return all
-}
+func (o *Operators) Hosts() []steward.HostInfo { return look(o.core, (*steward.Steward).HostInfos) }
 
 // Host tells how one host stands.
 func (o *Operators) Host(name string) (h steward.HostInfo, ok bool) {
-	o.core.look(func(s *steward.Steward, _ float64) { h, ok = s.HostInfo(name) })
+	h = look(o.core, func(s *steward.Steward) (h steward.HostInfo) { h, ok = s.HostInfo(name); return h })
 	return h, ok
 }
 
 // Proxies tells how the proxies stand.
-func (o *Operators) Proxies() (all []steward.ProxyInfo) {
-	o.core.look(func(s *steward.Steward, _ float64) { all = s.ProxyInfos() })
-	return all
-}
+func (o *Operators) Proxies() []steward.ProxyInfo { return look(o.core, (*steward.Steward).ProxyInfos) }
 
 // Holds gives the tables that a proxy was last given.
 func (o *Operators) Holds(proxy string) (a steward.Answer, ok bool) {
-	o.core.look(func(s *steward.Steward, _ float64) { a, ok = s.Holds(proxy) })
+	a = look(o.core, func(s *steward.Steward) (a steward.Answer) { a, ok = s.Holds(proxy); return a })
 	return a, ok
 }
 
-// Status tells how the steward stands, and its time.
-func (o *Operators) Status() (st steward.Status, now float64) {
-	o.core.look(func(s *steward.Steward, at float64) { st, now = s.Status(at), at })
-	return st, now
-}
+// Status tells how the steward stands.
+func (o *Operators) Status() steward.Status { return o.core.status() }
 
 // Order gives orders to the steward; several are carried out stepwise.
 func (o *Operators) Order(orders ...operator.Order) (waits bool, err error) {
@@ -56,19 +47,15 @@
 
 // Events gives those after a number; where there are none it calls later once, when one comes or the wait is over.
 func (o *Operators) Events(after int64, wait time.Duration, to func([]steward.Event)) (cancel func()) {
-	var all []steward.Event
-	var once sync.Once
-	give := func() {
-		once.Do(func() {
-			o.core.look(func(s *steward.Steward, _ float64) { all = s.Events(after) })
-			to(all)
-		})
+	events := func() []steward.Event {
+		return look(o.core, func(s *steward.Steward) []steward.Event { return s.Events(after) })
 	}
-	o.core.look(func(s *steward.Steward, _ float64) { all = s.Events(after) })
-	if len(all) > 0 || wait <= 0 {
-		give()
+	if all := events(); len(all) > 0 || wait <= 0 {
+		to(all)
 		return func() {}
 	}
+	var once sync.Once
+	give := func() { once.Do(func() { to(events()) }) }
 	forget := o.core.follow(after, func() { go give() })
 	timer := time.AfterFunc(wait, give)
 	return func() { forget(); timer.Stop(); once.Do(func() {}) }
@@ -86,9 +73,7 @@
 	}})
 	m.Handle("GET", "/v1/proxies/{proxy}/holds", http1.Route{Serve: a.holds})
 	m.Handle("GET", "/v1/guard", http1.Route{Serve: func(*http1.Request) http1.Reply {
-		var r steward.GuardReport
-		a.core.look(func(s *steward.Steward, _ float64) { r = s.GuardReport() })
-		return jsonReply(r)
+		return jsonReply(look(a.core, (*steward.Steward).GuardReport))
 	}})
 	m.Handle("GET", "/v1/events", http1.Route{Serve: a.events})
 }
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -24,13 +24,20 @@
 func (j *Journal) Check(f Figures, end float64) []Verdict {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	v, _ := j.check(f, end)
+	return v
+}
+
+// check reckons the rules, and counts the transactions that came after the word that their host drains or is gone.
+func (j *Journal) check(f Figures, end float64) (v []Verdict, after int) {
 	sort.SliceStable(j.answers, func(a, b int) bool { return j.answers[a].at < j.answers[b].at })
 	sort.SliceStable(j.arrivals, func(a, b int) bool { return j.arrivals[a].at < j.arrivals[b].at })
-	v := []Verdict{j.bare(f, end), j.twice(f), j.drains(f), j.cold(f), j.queue(f)}
+	drains, after := j.drains(f)
+	v = []Verdict{j.bare(f, end), j.twice(f), drains, j.cold(f), j.queue(f)}
 	if len(j.faults) > 0 {
 		v = append(v, Verdict{"deltas fit their base", false, -1, j.faults[0]})
 	}
-	return worse(j.folded, v)
+	return worse(j.folded, v), after
 }
 
 func (j *Journal) byProxy() map[string][]answer {
@@ -144,9 +151,10 @@
 }
 
 // drains: how long after the list said that a host drains or is gone a joined proxy still sent there.
-func (j *Journal) drains(f Figures) Verdict {
+func (j *Journal) drains(f Figures) (v Verdict, n int) {
 	stays, told := j.stays(), j.told(out)
-	worst, seen, n := 0.0, "", j.after
+	worst, seen := 0.0, ""
+	n = j.after
 	for _, a := range j.arrivals {
 		since, out := inForce(told[a.host], a.at)
 		stay, ok := joined(stays[a.proxy], a.at)
@@ -160,7 +168,7 @@
 			worst, seen = late, fmt.Sprintf("; the last by %s at %s, %.0f ms of %.0f", a.proxy, a.host, late, f.Grace)
 		}
 	}
-	return verdict("drains kept", worst/f.Grace, "%d transactions after the word%s", n, seen)
+	return verdict("drains kept", worst/f.Grace, "%d transactions after the word%s", n, seen), n
 }
 
 // span is a time from which something holds of a host, and the time it ends.
--- a/internal/rules/fold.go
+++ b/internal/rules/fold.go
@@ -11,11 +11,9 @@
 // journals whose doubled effects are found elsewhere, since a transaction may run again after any time. The figures
 // must be those of the last Check, and nothing may be noted later with a time before now.
 func (j *Journal) Fold(f Figures, now float64) {
-	found := j.Check(f, now)
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.folded = worse(j.folded, found)
-	j.after += j.countAfter(f)
+	j.folded, j.after = j.check(f, now)
 	cut := now - math.Max(math.Max(f.Bare, f.Grace), math.Max(f.Cold, f.MessagesOver)) - f.Fall - 1000
 	j.foldLists(math.Min(cut, j.foldAnswers(f, cut)))
 	i := sort.Search(len(j.arrivals), func(i int) bool { return j.arrivals[i].at >= cut })
@@ -37,22 +35,6 @@
 	return out
 }
 
-// countAfter counts what came after the word that its host drains or is gone, since the last fold.
-func (j *Journal) countAfter(f Figures) int {
-	stays, told, n := j.stays(), j.told(out), 0
-	for _, a := range j.arrivals {
-		if a.at < j.from {
-			continue
-		}
-		if _, ok := joined(stays[a.proxy], a.at); ok {
-			if _, gone := inForce(told[a.host], a.at); gone {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 func out(h Listed, ok bool) bool { return !ok || !h.Ready }
 
 // foldLists leaves the list in force at the cut and all after it, and since when each host was out by then.
--- a/internal/rules/journal.go
+++ b/internal/rules/journal.go
@@ -113,15 +113,20 @@
 // Holds notes what a proxy holds after a command of a steward to its socket: the hosts by class that take traffic, and
 // the lines that the command cost; more tells that it goes on a message that began before, joined false that the way to
 // the steward broke.
-func (j *Journal) Holds(at float64, proxy, steward string, lines int, more bool, hosts map[string][]string, joined bool) {
+func (j *Journal) Holds(at float64, proxy, steward string, lines int, more bool, hosts map[string]map[string]bool, joined bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	a := answer{at: at, proxy: proxy, steward: steward, status: 200, lines: lines, more: more}
 	if !joined {
 		a.status, a.lines = 0, 0
 	}
-	for class, all := range hosts {
-		if len(all) == 0 {
+	j.note(a, hosts)
+}
+
+// note keeps an answer, with the classes of what the proxy then holds that have no host.
+func (j *Journal) note(a answer, h holding) {
+	for class, hosts := range h {
+		if len(hosts) == 0 {
 			a.empty = append(a.empty, class)
 		}
 	}
@@ -149,13 +154,7 @@
 			j.faults = append(j.faults, fmt.Sprintf("%s got a document that is no JSON: %v", proxy, err))
 		}
 	}
-	for class, hosts := range h {
-		if len(hosts) == 0 {
-			a.empty = append(a.empty, class)
-		}
-	}
-	sort.Strings(a.empty)
-	j.answers = append(j.answers, a)
+	j.note(a, h)
 }
 
 // apply puts a document or a merge patch onto what is held, and counts its lines.
--- a/internal/runtimeapi/commands.go
+++ b/internal/runtimeapi/commands.go
@@ -49,7 +49,7 @@
 
 // run carries out a command.
 func (s *session) run(words []string, text string) {
-	for _, c := range commands() {
+	for _, c := range s.server.commands {
 		name := strings.Fields(c.words)
 		if len(words) < len(name) || !slices.Equal(words[:len(name)], name) {
 			continue
@@ -78,7 +78,7 @@
 		first = words[0]
 	}
 	for _, all := range []bool{false, true} {
-		for _, c := range commands() {
+		for _, c := range s.server.commands {
 			if c.level <= s.server.set.Level && (all || first != "" && strings.HasPrefix(c.words, first)) {
 				fmt.Fprintln(&b, "  "+c.usage)
 				n++
@@ -129,8 +129,7 @@
 	if !cut || name == "" {
 		return h, "Require 'backend/server'.\n", false
 	}
-	st, _ := s.server.steward.Status()
-	if !slices.Contains(st.Classes, backend) {
+	if !slices.Contains(s.server.steward.Status().Classes, backend) {
 		return h, "No such backend.\n", false
 	}
 	if h, ok := s.server.steward.Host(name); ok {
@@ -259,8 +258,7 @@
 	if _, _, err := net.SplitHostPort(args[1]); err != nil || name != args[1] {
 		return "A server's name is its <addr>:<port> here.\n", false
 	}
-	st, _ := s.server.steward.Status()
-	a := &operator.Added{Weight: 1, Zone: st.Zones[0]}
+	a := &operator.Added{Weight: 1, Zone: s.server.steward.Status().Zones[0]}
 	for i := 2; i < len(args); i++ {
 		switch {
 		case args[i] == "weight" && i+1 < len(args):
--- a/internal/runtimeapi/server.go
+++ b/internal/runtimeapi/server.go
@@ -23,7 +23,7 @@
 	Host(name string) (steward.HostInfo, bool)
 	Proxies() []steward.ProxyInfo
 	Holds(proxy string) (steward.Answer, bool)
-	Status() (st steward.Status, now float64)
+	Status() steward.Status
 	Order(orders ...operator.Order) (waits bool, err error)
 	Events(after int64, wait time.Duration, to func([]steward.Event)) (cancel func())
 }
@@ -60,9 +60,10 @@
 
 // Server serves the front on listeners.
 type Server struct {
-	steward Steward
-	set     Config
-	slots   chan struct{}
+	steward  Steward
+	set      Config
+	commands []command
+	slots    chan struct{}
 
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
@@ -85,7 +86,7 @@
 	if set.Conns == 0 {
 		set.Conns = 256
 	}
-	return &Server{steward: s, set: set, slots: make(chan struct{}, set.Conns), conns: map[net.Conn]bool{}}
+	return &Server{steward: s, set: set, commands: commands(), slots: make(chan struct{}, set.Conns), conns: map[net.Conn]bool{}}
 }
 
 // Serve takes connections until the listener is closed.
--- a/internal/runtimeapi/show.go
+++ b/internal/runtimeapi/show.go
@@ -6,7 +6,6 @@
 	"math"
 	"os"
 	"runtime"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -18,26 +17,24 @@
 // firstBackend is the id of the first class; the ids of the others follow in the order of the settings.
 const firstBackend = 2
 
-// servers gives each backend's rows: every host is a server of every class, since one table serves all.
-func (s *session) servers(backend string) (classes []string, hosts []steward.HostInfo, now float64, answer string, ok bool) {
-	st, now := s.server.steward.Status()
-	classes = st.Classes
-	if backend != "" {
-		i := slices.Index(classes, backend)
-		if n, err := strconv.Atoi(backend); err == nil && n >= firstBackend && n < firstBackend+len(classes) {
-			i = n - firstBackend
-		}
-		if i < 0 {
-			return nil, nil, now, "Can't find backend.\n", false
-		}
-		classes = []string{classes[i]}
-	}
-	return classes, s.server.steward.Hosts(), now, "", true
+// backend is a class with its id.
+type backend struct {
+	class string
+	id    int
 }
 
-func (s *session) backendID(class string) int {
-	st, _ := s.server.steward.Status()
-	return firstBackend + slices.Index(st.Classes, class)
+// servers gives the backends, or the one that is named by name or id, and their servers: every host is a server of every
+// class, since one table serves all.
+func (s *session) servers(named string) (backends []backend, hosts []steward.HostInfo, answer string, ok bool) {
+	for i, class := range s.server.steward.Status().Classes {
+		if id := firstBackend + i; named == "" || named == class || named == strconv.Itoa(id) {
+			backends = append(backends, backend{class, id})
+		}
+	}
+	if len(backends) == 0 {
+		return nil, nil, "Can't find backend.\n", false
+	}
+	return backends, s.server.steward.Hosts(), "", true
 }
 
 // word is a host's status as show stat has it.
@@ -74,7 +71,7 @@
 }
 
 func (s *session) showBackend([]string) (string, bool) {
-	st, _ := s.server.steward.Status()
+	st := s.server.steward.Status()
 	return "# name\n" + strings.Join(st.Classes, "\n") + "\n", true
 }
 
@@ -86,15 +83,15 @@
 }
 
 func (s *session) showState(args []string) (string, bool) {
-	classes, hosts, _, answer, ok := s.servers(first(args))
+	backends, hosts, answer, ok := s.servers(first(args))
 	if !ok {
 		return answer, false
 	}
 	var all []haproxy.ServerState
-	for _, c := range classes {
+	for _, k := range backends {
 		for i, h := range hosts {
 			op, adm := admin(h)
-			all = append(all, haproxy.ServerState{BackendID: s.backendID(c), ServerID: i + 1, Backend: c, Server: h.Host, Address: h.Host, Op: op, Admin: adm,
+			all = append(all, haproxy.ServerState{BackendID: k.id, ServerID: i + 1, Backend: k.class, Server: h.Host, Address: h.Host, Op: op, Admin: adm,
 				Weight: quantised(h.Weight), Initial: quantised(h.Listed)})
 		}
 	}
@@ -102,17 +99,17 @@
 }
 
 func (s *session) showConn(args []string) (string, bool) {
-	classes, hosts, _, answer, ok := s.servers(first(args))
+	backends, hosts, answer, ok := s.servers(first(args))
 	if !ok {
 		return answer, false
 	}
 	var b strings.Builder
 	b.WriteString("# bkname/svname bkid/svid addr port - purge_delay used_cur used_max need_est unsafe_nb safe_nb idle_lim idle_cur idle_per_thr[1]\n")
-	for _, c := range classes {
+	for _, k := range backends {
 		for i, h := range hosts {
 			at := strings.LastIndexByte(h.Host, ':')
 			used := int(math.Max(h.Why.Rate*h.Why.R/1000, 0))
-			fmt.Fprintf(&b, "%s/%s %d/%d %s %s - 0 %d %d %d 0 0 -1 0 0\n", c, h.Host, s.backendID(c), i+1, h.Host[:at], h.Host[at+1:], used, used, used)
+			fmt.Fprintf(&b, "%s/%s %d/%d %s %s - 0 %d %d %d 0 0 -1 0 0\n", k.class, h.Host, k.id, i+1, h.Host[:at], h.Host[at+1:], used, used, used)
 		}
 	}
 	return b.String(), true
@@ -125,21 +122,21 @@
 		form, args = args[n-1], args[:n-1]
 	}
 	kinds, sid := -1, -1
-	backend := ""
+	named := ""
 	if len(args) >= 3 {
-		if backend = args[0]; backend == "-1" {
-			backend = ""
+		if named = args[0]; named == "-1" {
+			named = ""
 		}
 		kinds, _ = strconv.Atoi(args[1])
 		sid, _ = strconv.Atoi(args[2])
 	}
-	classes, hosts, _, answer, ok := s.servers(backend)
+	backends, hosts, answer, ok := s.servers(named)
 	if !ok {
 		return answer, false
 	}
 	var rows []haproxy.Row
-	for _, c := range classes {
-		iid := strconv.Itoa(s.backendID(c))
+	for _, k := range backends {
+		iid := strconv.Itoa(k.id)
 		total, up := 0, 0
 		rate := 0.0
 		for i, h := range hosts {
@@ -150,7 +147,7 @@
 			if kinds >= 0 && kinds&4 == 0 || sid >= 0 && sid != i+1 {
 				continue
 			}
-			rows = append(rows, haproxy.Row{"pxname": c, "svname": h.Host, "status": word(h), "weight": strconv.Itoa(quantised(h.Weight)),
+			rows = append(rows, haproxy.Row{"pxname": k.class, "svname": h.Host, "status": word(h), "weight": strconv.Itoa(quantised(h.Weight)),
 				"qcur": figure(h.Why.Load.Queue), "scur": figure(h.Why.Rate * h.Why.R / 1000), "stot": "0", "act": "1", "bck": "0",
 				"econ": "0", "eresp": figure(h.Why.Lost), "chkfail": strconv.Itoa(h.Why.Strikes), "pid": "1", "iid": iid, "sid": strconv.Itoa(i + 1),
 				"type": strconv.Itoa(haproxy.Server), "rate": figure(h.Why.Rate), "rtime": figure(h.Why.R), "ttime": figure(h.Why.R), "addr": h.Host,
@@ -161,7 +158,7 @@
 			if up == 0 {
 				status = "DOWN"
 			}
-			rows = append(rows, haproxy.Row{"pxname": c, "svname": "BACKEND", "status": status, "weight": strconv.Itoa(total), "act": strconv.Itoa(up),
+			rows = append(rows, haproxy.Row{"pxname": k.class, "svname": "BACKEND", "status": status, "weight": strconv.Itoa(total), "act": strconv.Itoa(up),
 				"bck": "0", "pid": "1", "iid": iid, "sid": "0", "type": strconv.Itoa(haproxy.Backend), "rate": figure(rate), "stot": "0", "mode": "http",
 				"algo": "random"})
 		}
@@ -197,7 +194,7 @@
 type info struct{ name, value string }
 
 func (s *session) showInfo(args []string) (string, bool) {
-	st, _ := s.server.steward.Status()
+	st := s.server.steward.Status()
 	all := []info{{"Name", "barleysail"}, {"Version", s.server.set.Version}, {"Nbthread", strconv.Itoa(runtime.GOMAXPROCS(0))}, {"Nbproc", "1"},
 		{"Process_num", "1"}, {"Pid", strconv.Itoa(os.Getpid())}, {"CurrConns", strconv.Itoa(st.Joined)}, {"Stopping", "0"},
 		{"Jobs", strconv.Itoa(st.Polls)}, {"Tasks", strconv.Itoa(st.MessagesQueued)}, {"node", st.Life}, {"description", st.Mode}}
--- a/internal/socketproxy/socketproxy.go
+++ b/internal/socketproxy/socketproxy.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// Network gives the network and the address of unix:PATH or address:port.
+func Network(address string) (network, at string) {
+	if path, ok := strings.CutPrefix(address, "unix:"); ok {
+		return "unix", path
+	}
+	return "tcp", address
+}
+
 // say logs a change, once.
 func (d *Driver) say(text string) {
 	if text != d.last {
@@ -105,14 +113,10 @@
 	poll    int64 // held at the steward, 0: none
 	polled  time.Time
 	newest  string // tag of what is wanted
-	broken  error
 }
 
 func (d *Driver) session(ctx context.Context) error {
-	network, address := "tcp", d.set.Address
-	if path, ok := strings.CutPrefix(address, "unix:"); ok {
-		network, address = "unix", path
-	}
+	network, address := Network(d.set.Address)
 	dialer := net.Dialer{Timeout: d.set.Timeout}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
@@ -143,7 +147,7 @@
 			if err := s.read(); err != nil {
 				return err
 			}
-			s.ask1()
+			s.hear()
 		} else if driving && !mine {
 			s.say(fmt.Sprintf("proxy %s: another steward drives it", s.set.Proxy))
 			if s.poll != 0 {
@@ -274,8 +278,8 @@
 	return nil
 }
 
-// ask1 polls the steward for the proxy, with the tag of what it has.
-func (s *session) ask1() {
+// hear polls the steward for the proxy, with the tag of what it has.
+func (s *session) hear() {
 	q := steward.Query{Proxy: s.set.Proxy, Zone: s.set.Zone, Rate: s.set.Rate, Wait: 60000}
 	if s.tag != "" {
 		q.Tags = []string{s.tag}
@@ -321,14 +325,14 @@
 			s.set.Log(fmt.Sprintf("proxy %s refuses: %v", s.set.Proxy, err))
 		}
 		if s.poll == 0 && time.Since(s.polled) > time.Second {
-			s.ask1()
+			s.hear()
 		}
 	}
 	if s.newest != "" && s.proxy.Settled(s.steward.Now()) {
 		s.tag = s.newest
 	}
 	if s.poll == 0 && (s.tag == s.newest || time.Since(s.polled) > time.Second) {
-		s.ask1()
+		s.hear()
 	}
 	return nil
 }
--- a/internal/standin/socket.go
+++ b/internal/standin/socket.go
@@ -96,7 +96,7 @@
 func (f *Forwarder) SocketState() []haproxy.ServerState {
 	f.socket.mu.Lock()
 	defer f.socket.mu.Unlock()
-	return f.socket.state("")
+	return f.socket.state()
 }
 
 func (s *socket) begin() {
@@ -152,6 +152,16 @@
 	s.load()
 }
 
+// taking are the servers of a class that take traffic. The lock is held.
+func (s *socket) taking(class string) (all []*socketServer) {
+	for _, v := range s.servers[class] {
+		if v.admin == 0 && v.weight > 0 {
+			all = append(all, v)
+		}
+	}
+	return all
+}
+
 // load makes what the socket holds the proxy's tables. The lock is held.
 func (s *socket) load() {
 	type table struct {
@@ -165,10 +175,8 @@
 		if x, err := strconv.ParseFloat(s.vars["proc."+publisher.ShareVariable+c], 64); err == nil {
 			t.Share = x / 1000
 		}
-		for _, v := range s.servers[c] {
-			if v.admin == 0 && v.weight > 0 {
-				t.Hosts[v.address] = float64(v.weight)
-			}
+		for _, v := range s.taking(c) {
+			t.Hosts[v.address] = float64(v.weight)
 		}
 		doc["tables"][c] = t
 	}
@@ -183,13 +191,11 @@
 	if j == nil {
 		return
 	}
-	hosts := map[string][]string{}
+	hosts := map[string]map[string]bool{}
 	for _, c := range s.classes {
-		hosts[c] = nil
-		for _, v := range s.servers[c] {
-			if v.admin == 0 && v.weight > 0 {
-				hosts[c] = append(hosts[c], v.address)
-			}
+		hosts[c] = map[string]bool{}
+		for _, v := range s.taking(c) {
+			hosts[c][v.address] = true
 		}
 	}
 	life, _, _ := strings.Cut(s.vars["proc."+publisher.OwnerVariable], ":")
@@ -293,7 +299,7 @@
 func (s *socket) run(w []string) (answer string, changed bool) {
 	command := strings.Join(w[:min(len(w), 2)], " ")
 	if command == "show servers" && len(w) > 2 && w[2] == "state" {
-		return haproxy.WriteState(s.state("")), false
+		return haproxy.WriteState(s.state()), false
 	}
 	switch command {
 	case "show stat":
@@ -346,7 +352,7 @@
 }
 
 // state is that of all servers. The lock is held.
-func (s *socket) state(string) (all []haproxy.ServerState) {
+func (s *socket) state() (all []haproxy.ServerState) {
 	for b, c := range s.classes {
 		for i, v := range s.servers[c] {
 			all = append(all, haproxy.ServerState{BackendID: b + 2, ServerID: i + 1, Backend: c, Server: v.address, Address: v.address, Op: haproxy.Running,
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -122,8 +122,15 @@
 // Weighed tells whether a weight is set on a host.
 func (b *Book) Weighed(host string) bool { return b.sets[host].Weight > 0 || b.sets[host].Part > 0 }
 
-// Waiting gives the hosts of orders that wait for their turn, in order.
-func (b *Book) Waiting() []Order { return slices.Clone(b.waiting) }
+// Waits gives the order of a host that waits for its turn, the last one of several.
+func (b *Book) Waits(host string) (o Order, ok bool) {
+	for _, w := range b.waiting {
+		if w.Host == host {
+			o, ok = w, true
+		}
+	}
+	return o, ok
+}
 
 // Order takes an order. It is done at once, or waits where it may and cannot be done yet, or is refused and changes
 // nothing.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -140,14 +140,8 @@
 	if !p.read || p.out != nil {
 		return false
 	}
-	if len(p.plan) == 0 {
-		p.plan = p.next(now)
-	}
-	if len(p.plan) == 0 {
-		return true
-	}
-	c := p.plan[0]
-	return c.backend != "" && p.want[c.backend][c.server] == 0 && !p.have[c.backend][c.server].ready
+	c := p.first(now)
+	return c == nil || c.backend != "" && p.want[c.backend][c.server] == 0 && !p.have[c.backend][c.server].ready
 }
 
 // Next gives the command to be sent now; false where none is, or one is out.
@@ -155,14 +149,23 @@
 	if !p.read || p.out != nil {
 		return "", false
 	}
+	c := p.first(now)
+	if c == nil {
+		return "", false
+	}
+	p.out, p.plan = c, p.plan[1:]
+	return c.text, true
+}
+
+// first gives the plan's first command, of a new plan where the old one is done; nil where nothing is to be done.
+func (p *Proxy) first(now float64) *command {
 	if len(p.plan) == 0 {
 		p.plan = p.next(now)
 	}
 	if len(p.plan) == 0 {
-		return "", false
+		return nil
 	}
-	p.out, p.plan = p.plan[0], p.plan[1:]
-	return p.out.text, true
+	return p.plan[0]
 }
 
 // refusedMost commands for a server are tried before it is left alone until the next reading.
--- a/steward/guarding.go
+++ b/steward/guarding.go
@@ -142,17 +142,15 @@
 
 // guardView is what the guard looks at: each zone's tables by the first of its proxies that has some.
 func (s *Steward) guardView() *guard.View {
-	v := &guard.View{Demand: map[string]map[string]float64{}, Now: s.guarding.now, Next: guard.Tables{}}
-	share := math.Max(float64(len(s.members.byName))/float64(s.fleet.Proxies), 1e-9)
+	v := &guard.View{Demand: s.demand(), Now: s.guarding.now, Next: guard.Tables{}}
 	for k, c := range s.classes {
 		v.Classes = append(v.Classes, guard.Class{Name: c.Name, Work: c.Work, Local: c.Local})
-		v.Demand[c.Name], v.Next[c.Name] = map[string]float64{}, map[string]map[string]float64{}
+		v.Next[c.Name] = map[string]map[string]float64{}
 		for _, m := range s.members.byIndex {
 			if m == nil || m.tables[k] < 0 {
 				continue
 			}
 			z := s.fleet.Zones[m.zone]
-			v.Demand[c.Name][z] += m.rates[k] / share
 			if v.Next[c.Name][z] != nil {
 				continue
 			}
@@ -174,13 +172,7 @@
 	}
 	for _, host := range slices.Sorted(maps.Keys(s.list.entries)) {
 		e := s.list.entries[host]
-		h := guard.Host{Name: host, Zone: e.Zone, Ready: e.Phase == decide.Ready, Warmth: 1}
-		if speed := e.Speed; e.Cores > 0 {
-			if speed == 0 {
-				speed = 1
-			}
-			h.Cap = e.Cores * speed
-		}
+		h := guard.Host{Name: host, Zone: e.Zone, Ready: e.Phase == decide.Ready, Warmth: 1, Cap: e.Cores * e.speed()}
 		if x, ok := s.module.Explain(s.hosts.of[host]); ok {
 			h.Ready, h.Warmth = h.Ready && !x.Out, x.Warmth
 			h.Most = s.multiple * x.Warmth * h.Cap
--- a/steward/list.go
+++ b/steward/list.go
@@ -23,6 +23,14 @@
 	Speed   float64 // of a core, against others; 0: not told, taken as 1
 }
 
+// speed of a core, 1 where it is not told.
+func (e Entry) speed() float64 {
+	if e.Speed == 0 {
+		return 1
+	}
+	return e.Speed
+}
+
 // list is the host list as last told, and the hosts that left it.
 type list struct {
 	raw     []Entry          // as it came
--- a/steward/operate.go
+++ b/steward/operate.go
@@ -120,9 +120,7 @@
 // operatorsView is what decisions on operators' orders go by.
 func (s *Steward) operatorsView() operator.View {
 	v := operator.View{Now: s.now, Quiet: s.channel.waiting() == 0 && s.channel.messages() == 0, Grace: s.grace,
-		Known: func(host string) bool {
-			return slices.ContainsFunc(s.list.raw, func(e Entry) bool { return e.Host == host }) || s.book.Sets()[host].Added != nil
-		}}
+		Known: func(host string) bool { _, ok := s.HostInfo(host); return ok }}
 	raw := map[string]float64{}
 	for _, e := range s.list.raw {
 		raw[e.Host] = e.Weight
@@ -285,10 +283,8 @@
 	if isSet {
 		i.Operator = &OperatorSet{set.State.String(), set.Weight, set.Part, set.Added != nil, set.By, set.At, set.Until, false}
 	}
-	for _, o := range s.book.Waiting() {
-		if o.Host == host {
-			i.Operator = &OperatorSet{State: o.State.String(), Weight: math.Max(o.Weight, 0), By: o.By, Waiting: true}
-		}
+	if o, ok := s.book.Waits(host); ok {
+		i.Operator = &OperatorSet{State: o.State.String(), Weight: math.Max(o.Weight, 0), By: o.By, Waiting: true}
 	}
 	return i, true
 }
--- a/steward/solved.go
+++ b/steward/solved.go
@@ -68,18 +68,15 @@
 		return
 	}
 	s.out.Log(fmt.Sprintf("solved weights renewed: result %.4f to %.4f", now, then))
-	changed := 0
 	s.module.ListChange()
-	for _, host := range slices.Sorted(maps.Keys(fresh)) {
+	changed := s.changed(fresh)
+	for _, host := range changed {
 		e := s.list.entries[host]
-		if math.Abs(fresh[host]-s.weight(e)) > renewedPart*s.weight(e) {
-			v.weights[host] = fresh[host]
-			s.module.Entry(s.hosts.index(host), s.zone[e.Zone], e.Phase, fresh[host], e.Started)
-			changed++
-		}
+		v.weights[host] = fresh[host]
+		s.module.Entry(s.hosts.index(host), s.zone[e.Zone], e.Phase, fresh[host], e.Started)
 	}
 	maps.DeleteFunc(v.weights, func(host string, _ float64) bool { _, ok := s.list.entries[host]; return !ok })
-	if changed > 0 {
+	if len(changed) > 0 {
 		s.round.soon(s.now, s.polls.Step)
 	}
 }
@@ -87,20 +84,39 @@
 // orders is what telling other weights costs of the result until they may be told anew: lines for all joined proxies,
 // at the channel's price for its usual pace.
 func (s *Steward) orders(fresh map[string]float64) float64 {
-	changed := 0
-	for host, w := range fresh {
-		if old := s.weight(s.list.entries[host]); math.Abs(w-old) > renewedPart*old {
-			changed++
+	lines := float64(len(s.members.byName)) * (float64(len(s.changed(fresh))) + s.channel.head)
+	return s.channel.price * lines / math.Max(s.channel.pace*s.solved.every, 1e-9)
+}
+
+// changed are the hosts whose weights are other enough to be told anew, by name.
+func (s *Steward) changed(fresh map[string]float64) (hosts []string) {
+	for _, host := range slices.Sorted(maps.Keys(fresh)) {
+		if old := s.weight(s.list.entries[host]); math.Abs(fresh[host]-old) > renewedPart*old {
+			hosts = append(hosts, host)
 		}
 	}
-	lines := float64(len(s.members.byName)) * (float64(changed) + s.channel.head)
-	return s.channel.price * lines / math.Max(s.channel.pace*s.solved.every, 1e-9)
+	return hosts
+}
+
+// demand is what the proxies lately told, by class and zone, for the whole fleet: the joined ones are a part of it.
+func (s *Steward) demand() map[string]map[string]float64 {
+	share, all := math.Max(float64(len(s.members.byName))/float64(s.fleet.Proxies), 1e-9), map[string]map[string]float64{}
+	for k, c := range s.classes {
+		by := map[string]float64{}
+		for _, m := range s.members.byIndex {
+			if m != nil {
+				by[s.fleet.Zones[m.zone]] += m.rates[k] / share
+			}
+		}
+		all[c.Name] = by
+	}
+	return all
 }
 
 // problem is the fleet as listed, with the demand that the proxies lately told. Without any there is none, nor with
 // a host that tells no cores, which it names.
 func (s *Steward) problem() (p *solver.Problem, lacks string) {
-	p = &solver.Problem{Zones: s.fleet.Zones, Demand: map[string]map[string]float64{}, Goal: solver.Goal{Whole: 1},
+	p = &solver.Problem{Zones: s.fleet.Zones, Demand: s.demand(), Goal: solver.Goal{Whole: 1},
 		Deadline: deadlineMeans, Proxies: map[string]int{}}
 	for _, m := range s.members.byIndex {
 		if m != nil {
@@ -115,22 +131,13 @@
 		if e.Cores == 0 {
 			return nil, host
 		}
-		speed := e.Speed
-		if speed == 0 {
-			speed = 1
-		}
-		p.Hosts = append(p.Hosts, solver.Host{Name: host, Zone: e.Zone, Cores: e.Cores, Speed: speed, Warm: 1})
+		p.Hosts = append(p.Hosts, solver.Host{Name: host, Zone: e.Zone, Cores: e.Cores, Speed: e.speed(), Warm: 1})
 	}
-	share, total := float64(len(s.members.byName))/float64(s.fleet.Proxies), 0.0
-	for k, c := range s.classes {
-		by := map[string]float64{}
-		for _, m := range s.members.byIndex {
-			if m != nil {
-				by[s.fleet.Zones[m.zone]] += m.rates[k] / math.Max(share, 1e-9)
-				total += m.rates[k]
-			}
+	total := 0.0
+	for _, c := range s.classes {
+		for _, z := range s.fleet.Zones {
+			total += p.Demand[c.Name][z]
 		}
-		p.Demand[c.Name] = by
 		p.Classes = append(p.Classes, solver.Class{Name: c.Name, Earnings: c.Earnings, Work: math.Max(c.Work, 1e-3), Local: c.Local})
 	}
 	if total == 0 || len(p.Hosts) == 0 {
