Intake: reports are bounded, aged and doubted before the module is given them

Sums went to the module as they came, however many, and load reports were taken for true. Package intake now decides: a door with a bucket a source and half of all promised evenly (x/time/rate, before the body is read), a bounded queue in which a source's lines on one host are one and the longest source loses the stalest, weight by age with the sender's clock reckoned out, trust in load reports held against what the proxies met (false, stuck, stopped: estimated, never with more room), spreads by HdrHistogram, and levels at which a steward that falls behind sheds reports, then lengthens rounds. Hosts may report by POST /v1/hosts/{host}/load; two proxies with one name no longer answer each other's polls for ever.

Recordings are of format 4; older ones replay with reports believed.

--- a/client/run.go
+++ b/client/run.go
@@ -153,7 +153,7 @@
 		if body == nil {
 			number++
 			hosts, usage := c.sums.take(c.o.Now(), c.knows)
-			body, _ = json.Marshal(report{c.sender, number, hosts, usage})
+			body, _ = json.Marshal(report{c.sender, number, float64(c.o.Now().UnixMicro()) / 1000, hosts, usage})
 			again = 0
 		}
 		c.mu.Unlock()
@@ -177,7 +177,7 @@
 	return false
 }
 
-// post tells whether the steward answered, be it with a refusal.
+// post tells whether the steward answered, be it with a refusal; one that says it is too much now asks for it again.
 func (c *Client) post(ctx context.Context, target string, body []byte) bool {
 	limit, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
@@ -192,6 +192,9 @@
 	}
 	answer, _ := io.ReadAll(io.LimitReader(r.Body, 4096))
 	r.Body.Close()
+	if r.StatusCode == http.StatusTooManyRequests {
+		return false
+	}
 	if r.StatusCode >= 400 && r.StatusCode < 500 {
 		c.o.Log(fmt.Sprintf("the steward refused sums: %s: %s", r.Status, bytes.TrimSpace(answer)))
 	}
--- a/client/sums.go
+++ b/client/sums.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"barleysail/decide"
+	"barleysail/intake"
 	"barleysail/internal/orca"
 )
 
@@ -12,15 +13,28 @@
 	since time.Time
 	hosts map[string]*hostSums
 	usage map[string]*classUsage
+	spare []*intake.Times // empty ones, to be used again
+}
+
+// histogram gives an empty one.
+func (s *sums) histogram() *intake.Times {
+	if n := len(s.spare); n > 0 {
+		t := s.spare[n-1]
+		s.spare = s.spare[:n-1]
+		return t
+	}
+	return intake.NewTimes()
 }
 
 type hostSums struct {
-	Tries  int       `json:"tries"`
-	Failed int       `json:"failed"`
-	Mean   float64   `json:"mean"`
-	Span   float64   `json:"span"`
-	Load   *loadSums `json:"load,omitempty"`
+	Tries  int          `json:"tries"`
+	Failed int          `json:"failed"`
+	Mean   float64      `json:"mean"`
+	Span   float64      `json:"span"`
+	Load   *loadSums    `json:"load,omitempty"`
+	Times  [][2]float64 `json:"times,omitempty"` // ms and count
 	took   time.Duration
+	times  *intake.Times
 	load   decide.Load
 }
 
@@ -40,12 +54,13 @@
 type report struct {
 	Sender string                 `json:"sender"`
 	Number int64                  `json:"number"`
+	At     float64                `json:"at"` // ms on our clock
 	Hosts  map[string]*hostSums   `json:"hosts"`
 	Usage  map[string]*classUsage `json:"usage"`
 }
 
 func (s *sums) begin(now time.Time) {
-	*s = sums{since: now, hosts: map[string]*hostSums{}, usage: map[string]*classUsage{}}
+	*s = sums{since: now, hosts: map[string]*hostSums{}, usage: map[string]*classUsage{}, spare: s.spare}
 }
 
 func (s *sums) class(class string) *classUsage {
@@ -69,12 +84,13 @@
 func (s *sums) met(host string, r Try, took time.Duration) {
 	h := s.hosts[host]
 	if h == nil {
-		h = &hostSums{load: decide.NoLoad}
+		h = &hostSums{load: decide.NoLoad, times: s.histogram()}
 		s.hosts[host] = h
 	}
 	h.Tries++
 	if r.Result == Fulfilled {
 		h.took += took
+		h.times.Note(took.Seconds() * 1000)
 	} else {
 		h.Failed++
 	}
@@ -89,16 +105,22 @@
 	hosts := map[string]*hostSums{}
 	for host, h := range s.hosts {
 		if !known(host) {
+			h.times.Bars()
+			s.spare = append(s.spare, h.times)
 			continue
 		}
 		h.Span = span
 		if good := h.Tries - h.Failed; good > 0 {
 			h.Mean = h.took.Seconds() * 1000 / float64(good)
 		}
+		for _, b := range h.times.Bars() {
+			h.Times = append(h.Times, [2]float64{b.Ms, float64(b.Count)})
+		}
 		if l := h.load; l != decide.NoLoad {
 			h.Load = &loadSums{reported(l.Util), reported(l.Rate), reported(l.Queue)}
 		}
 		hosts[host] = h
+		s.spare = append(s.spare, h.times)
 	}
 	usage := s.usage
 	for _, u := range usage {
--- a/cmd/barleysail/guard.go
+++ b/cmd/barleysail/guard.go
@@ -129,4 +129,3 @@
 	}
 	return w.Flush()
 }
-
--- a/cmd/barleysail/replay.go
+++ b/cmd/barleysail/replay.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.Steward(c, s.Life, s.Seed), nil
+	return config.Steward(config.Of(c, s.Format), s.Life, s.Seed), nil
 }
 
 // day is a recording that is being read.
--- a/cmd/barleysail/whatif.go
+++ b/cmd/barleysail/whatif.go
@@ -144,7 +144,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return config.Steward(c, s.Life, s.Seed), nil
+			return config.Steward(config.Of(c, s.Format), s.Life, s.Seed), nil
 		}}
 	for _, k := range c.Classes {
 		set.Classes = append(set.Classes, steward.Class{Name: k.Name, Class: decide.Class{Due: *k.DueMs, Patience: *k.PatienceMs,
--- /dev/null
+++ b/intake/pace.go
@@ -0,0 +1,57 @@
+package intake
+
+import "math"
+
+// Pace decides how far a steward that falls behind sheds reports, and then lengthens its rounds. Polls and drains are not
+// its business: they go on as they come.
+type Pace struct {
+	level  int
+	late   float64 // of the last rounds, faded
+	behind int     // rounds in a row that were late
+	inTime int     // and in time
+}
+
+const (
+	lateOver    = 100.0 // ms that a round may come late
+	inTimeUnder = 20.0
+	behindFor   = 3  // late rounds in a row raise the level
+	inTimeFor   = 25 // rounds in time lower it
+	mostLevel   = 3
+)
+
+// Round notes that a round came so many ms later than it was due, and tells whether the level changed.
+func (p *Pace) Round(late float64) (changed bool) {
+	p.late += 0.3 * (late - p.late)
+	switch {
+	case late > lateOver:
+		p.behind, p.inTime = p.behind+1, 0
+	case late < inTimeUnder:
+		p.behind, p.inTime = 0, p.inTime+1
+	default:
+		p.behind, p.inTime = 0, 0
+	}
+	if p.behind >= behindFor && p.level < mostLevel {
+		p.level, p.behind = p.level+1, 0
+		return true
+	}
+	if p.inTime >= inTimeFor && p.level > 0 {
+		p.level, p.inTime = p.level-1, 0
+		return true
+	}
+	return false
+}
+
+// Level is 0 while the steward keeps up, 3 at the most.
+func (p *Pace) Level() int { return p.level }
+
+// Late is how late the last rounds came, ms.
+func (p *Pace) Late() float64 { return p.late }
+
+// Part is what of the intake is let in: half as much with each level.
+func (p *Pace) Part() float64 { return math.Exp2(-float64(p.level)) }
+
+// Lines is how many lines a round takes in.
+func (p *Pace) Lines(usual int) int { return max(usual>>(2*p.level), 100) }
+
+// Stretch is how many times as long the module's own rounds take: reports are shed first.
+func (p *Pace) Stretch() float64 { return math.Max(1, math.Exp2(float64(p.level-1))) }
--- /dev/null
+++ b/intake/queue.go
@@ -0,0 +1,219 @@
+package intake
+
+import (
+	"container/heap"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Queue holds lines until a round takes them in. Lines of one source on one thing are one line, so a source that sends
+// again and again takes no more room. When more wait than may, the source with the most lines loses the one that is
+// stalest and says least.
+type Queue struct {
+	limits  Limits
+	by      map[string]*waiting
+	most    longest // the sources, the one with the most lines first
+	lines   int
+	next    int64 // order of arrival
+	dropped map[string]int64
+}
+
+// waiting are a source's lines, the least worth first.
+type waiting struct {
+	source string
+	lines  []*queued
+	of     map[key]*queued
+	at     int // in longest
+}
+
+type key struct {
+	of    string
+	usage bool
+}
+
+type queued struct {
+	Line
+	worth float64
+	order int64
+	at    int // in the source's heap
+}
+
+// NewQueue makes an empty one.
+func NewQueue(l Limits) *Queue {
+	return &Queue{limits: l, by: map[string]*waiting{}, dropped: map[string]int64{}}
+}
+
+// worth orders lines by how much they still say: the tries, halved for each half-life of age. Since all age alike it does
+// not change while they wait.
+func (q *Queue) worth(l *Line) float64 {
+	return math.Log2(float64(l.Tries)+1) + l.At/math.Max(q.limits.HalfLife, 1)
+}
+
+// Offer puts a line into the queue.
+func (q *Queue) Offer(l Line) {
+	w := q.by[l.Source]
+	if w == nil {
+		w = &waiting{source: l.Source, of: map[key]*queued{}}
+		q.by[l.Source] = w
+		heap.Push(&q.most, w)
+	}
+	k := key{l.Of, l.Usage}
+	if x := w.of[k]; x != nil {
+		x.merge(l)
+		x.worth = q.worth(&x.Line)
+		heap.Fix((*least)(&w.lines), x.at)
+		return
+	}
+	q.next++
+	x := &queued{Line: l, worth: q.worth(&l), order: q.next}
+	w.of[k] = x
+	heap.Push((*least)(&w.lines), x)
+	heap.Fix(&q.most, w.at)
+	if q.lines++; q.lines > q.limits.Waiting {
+		q.Drop(Full, 1)
+		q.remove(q.most[0], 0)
+	}
+}
+
+// Dropped counts the lines that were not taken in, by why.
+func (q *Queue) Dropped() map[string]int64 { return maps.Clone(q.dropped) }
+
+// Drop counts lines that were not taken in.
+func (q *Queue) Drop(why string, lines int) { q.dropped[why] += int64(lines) }
+
+// remove takes a line of a source out.
+func (q *Queue) remove(w *waiting, i int) *queued {
+	x := heap.Remove((*least)(&w.lines), i).(*queued)
+	delete(w.of, key{x.Of, x.Usage})
+	if q.lines--; len(w.lines) == 0 {
+		heap.Remove(&q.most, w.at)
+		delete(q.by, w.source)
+	} else {
+		heap.Fix(&q.most, w.at)
+	}
+	return x
+}
+
+// Forget drops what waits of a source.
+func (q *Queue) Forget(source string) {
+	if w := q.by[source]; w != nil {
+		q.Drop(Unknown, len(w.lines))
+		q.lines -= len(w.lines)
+		heap.Remove(&q.most, w.at)
+		delete(q.by, source)
+	}
+}
+
+// Take gives the lines that a round takes in, at most so many: all of them in the order in which they came, or, where
+// they are more, one of each source in turn, those that say most first. Lines that are too old are dropped. Tries are
+// told by what they still weigh.
+func (q *Queue) Take(now float64, most int) (lines []Line) {
+	var taken []*queued
+	if q.lines <= most {
+		for _, w := range q.by {
+			taken = append(taken, w.lines...)
+		}
+		q.by, q.most, q.lines = map[string]*waiting{}, nil, 0
+	} else {
+		turn := slices.Clone(q.most)
+		slices.SortFunc(turn, func(a, b *waiting) int { return compare(a.first(), b.first()) })
+		for len(taken) < most {
+			left := turn[:0]
+			for _, w := range turn {
+				if len(taken) == most {
+					break
+				}
+				taken = append(taken, q.remove(w, w.best()))
+				if len(w.lines) > 0 {
+					left = append(left, w)
+				}
+			}
+			turn = left
+		}
+	}
+	slices.SortFunc(taken, func(a, b *queued) int { return compare(a.order, b.order) })
+	for _, x := range taken {
+		weight := q.limits.weight(now - x.At)
+		if weight == 0 {
+			q.Drop(Aged, 1)
+			continue
+		}
+		if weight < 1 && !x.Usage { // usage is a rate by its span
+			x.Tries, x.Failed = int(math.Round(float64(x.Tries)*weight)), int(math.Round(float64(x.Failed)*weight))
+		}
+		lines = append(lines, x.Line)
+	}
+	return lines
+}
+
+// weight is what is left of a report of an age.
+func (l Limits) weight(age float64) float64 {
+	if age >= l.Oldest {
+		return 0
+	}
+	return math.Exp2(-math.Max(age-l.Fresh, 0) / math.Max(l.HalfLife, 1))
+}
+
+func compare(a, b int64) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// Waiting is the number of lines that wait, and of their sources.
+func (q *Queue) Waiting() (lines, sources int) { return q.lines, len(q.by) }
+
+// first is when the oldest line of a source came.
+func (w *waiting) first() int64 {
+	first := int64(math.MaxInt64)
+	for _, x := range w.lines {
+		first = min(first, x.order)
+	}
+	return first
+}
+
+// best is where the line that says most stands.
+func (w *waiting) best() (best int) {
+	for i, x := range w.lines {
+		if b := w.lines[best]; x.worth > b.worth || x.worth == b.worth && x.order < b.order {
+			best = i
+		}
+	}
+	return best
+}
+
+// least is a heap of lines, those that say least first.
+type least []*queued
+
+func (h least) Len() int { return len(h) }
+func (h least) Less(i, j int) bool {
+	return h[i].worth < h[j].worth || h[i].worth == h[j].worth && h[i].order < h[j].order
+}
+func (h least) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].at, h[j].at = i, j }
+func (h *least) Push(x any)   { x.(*queued).at = len(*h); *h = append(*h, x.(*queued)) }
+func (h *least) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return x
+}
+
+// longest is a heap of sources, that with the most lines first.
+type longest []*waiting
+
+func (h longest) Len() int { return len(h) }
+func (h longest) Less(i, j int) bool {
+	return len(h[i].lines) > len(h[j].lines) || len(h[i].lines) == len(h[j].lines) && h[i].source < h[j].source
+}
+func (h longest) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].at, h[j].at = i, j }
+func (h *longest) Push(x any)   { x.(*waiting).at = len(*h); *h = append(*h, x.(*waiting)) }
+func (h *longest) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/intake/senders.go
@@ -0,0 +1,72 @@
+package intake
+
+import "math"
+
+// Senders tells repeats from news by the numbers that senders count up, for each source apart. A sender that starts over
+// names itself anew; one that comes back after another took its place is a second one under the same name.
+type Senders struct {
+	last  []sender // the newest last
+	twice float64  // when two were last seen to alternate
+}
+
+type sender struct {
+	name   string
+	number int64
+	at     float64
+}
+
+const (
+	sendersKept = 4       // of a source
+	twiceFor    = 10000.0 // ms that two senders of one source count as such
+)
+
+// Take tells whether a number is news, and whether another sender is at work under the same name.
+func (s *Senders) Take(now float64, name string, number int64) (news, twice bool) {
+	for i, x := range s.last {
+		if x.name != name {
+			continue
+		}
+		if number <= x.number {
+			return false, s.Twice(now)
+		}
+		if i < len(s.last)-1 && now-x.at < twiceFor {
+			s.twice = now
+		}
+		s.last = append(append(s.last[:i:i], s.last[i+1:]...), sender{name, number, now})
+		return true, s.Twice(now)
+	}
+	if s.last = append(s.last, sender{name, number, now}); len(s.last) > sendersKept {
+		s.last = s.last[1:]
+	}
+	return true, s.Twice(now)
+}
+
+// Twice tells whether two senders are at work under one name.
+func (s *Senders) Twice(now float64) bool { return s.twice > 0 && now-s.twice < twiceFor }
+
+// Clock reckons how old a report is that its sender stamped by a clock of its own, however wrong that is: the least that
+// lay between a stamp and its arrival lately is the clocks' difference with the shortest way, and what is more is age. A
+// clock that runs ahead makes no report younger than one that has just come.
+type Clock struct {
+	least, before float64 // of this span and of the one before
+	since         float64
+	known         bool
+}
+
+// clockSpan ms a difference is remembered for, twice at most; so a clock that drifts or is set is followed.
+const clockSpan = 60000.0
+
+// clockJump ms by which a clock must have been set when a difference is suddenly larger: no report is that late.
+const clockJump = 600000.0
+
+// Age of a report with a stamp that comes now.
+func (c *Clock) Age(now, stamp float64) float64 {
+	d := now - stamp
+	if !c.known || d > c.least+clockJump {
+		*c = Clock{least: d, before: d, since: now, known: true}
+	} else if now >= c.since+clockSpan {
+		c.before, c.least, c.since = c.least, d, now
+	}
+	c.least = math.Min(c.least, d)
+	return d - math.Min(c.least, c.before)
+}
--- /dev/null
+++ b/intake/times.go
@@ -0,0 +1,98 @@
+package intake
+
+import (
+	"math"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bar of a spread: so many tries took about so many ms.
+type Bar struct {
+	Ms    float64
+	Count int64
+}
+
+// Spread is how the times at a host lately spread, merged from what all proxies told: the present span and the one
+// before, in histograms of one digit, which take about 3 KB each.
+type Spread struct {
+	now, before *hdrhistogram.Histogram
+	since       float64
+}
+
+const (
+	spreadSpan = 10000.0 // ms
+	unit       = 10.0    // parts of a ms
+	mostMs     = 60000.0
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(mostMs*unit), 1)
+}
+
+// NewTimes makes an empty spread for a sender's own counting.
+func NewTimes() *Times { return &Times{newHistogram()} }
+
+// Times are counted by a sender, to be told as bars.
+type Times struct{ h *hdrhistogram.Histogram }
+
+// Note counts a time.
+func (t *Times) Note(ms float64) { t.h.RecordValue(clampMs(ms)) }
+
+// Bars give what was counted, and begin anew.
+func (t *Times) Bars() (bars []Bar) {
+	for _, b := range t.h.Distribution() {
+		if b.Count > 0 {
+			bars = append(bars, Bar{float64(b.From+b.To) / 2 / unit, b.Count})
+		}
+	}
+	t.h.Reset()
+	return bars
+}
+
+func clampMs(ms float64) int64 { return int64(math.Min(math.Max(ms, 0), mostMs)*unit + 0.5) }
+
+// Add merges what a line tells; one without bars counts as all at its mean.
+func (s *Spread) Add(now float64, bars []Bar, mean float64, count int64) {
+	if s.now == nil {
+		s.now, s.since = newHistogram(), now
+	}
+	if now >= s.since+spreadSpan {
+		if now >= s.since+2*spreadSpan || s.before == nil {
+			s.before = newHistogram()
+		}
+		s.now, s.before, s.since = s.before, s.now, now
+		s.now.Reset()
+	}
+	if len(bars) == 0 && count > 0 {
+		bars = []Bar{{mean, count}}
+	}
+	for _, b := range bars {
+		s.now.RecordValues(clampMs(b.Ms), b.Count)
+	}
+}
+
+// SpreadReport is what is told of a spread.
+type SpreadReport struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"` // ms
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Dev   float64 `json:"dev"` // standard deviation, ms
+}
+
+// Report reads a spread.
+func (s *Spread) Report() (r SpreadReport) {
+	if s.now == nil {
+		return r
+	}
+	all := newHistogram()
+	all.Merge(s.now)
+	if s.before != nil {
+		all.Merge(s.before)
+	}
+	if r.Count = all.TotalCount(); r.Count == 0 {
+		return r
+	}
+	at := func(q float64) float64 { return float64(all.ValueAtQuantile(q)) / unit }
+	return SpreadReport{r.Count, at(50), at(95), at(99), all.StdDev() / unit}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,7 @@
 
 	"barleysail/decide"
 	"barleysail/guard"
+	"barleysail/intake"
 	"barleysail/internal/config/configpb"
 	"barleysail/internal/runtimeapi"
 	"barleysail/steward"
@@ -36,9 +37,11 @@
 		Polls: &configpb.Polls{StepMs: p(10), WaitMostMs: p(60000), FirstWaitMs: p(300), LeaveAfterMs: p(5000),
 			ForgetAfterMs: p(600000), History: i(32)},
 		TableGuard: &configpb.TableGuard{Over: p(1), Jump: p(0.5), ListHoldMs: p(hour)},
-		Solved:     &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
-		List:       &configpb.List{WaitMs: p(30000)},
-		Probes:     &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
+		Intake: &configpb.Intake{SourceLinesPerS: p(5000), LinesPerS: p(50000), Waiting: i(50000), RoundLines: i(20000), FreshMs: p(2000),
+			HalfLifeMs: p(10000), OldestMs: p(60000), Doubt: proto.Bool(true), SilentMs: p(5000), UnsureMs: p(10000), Blind: p(0.85)},
+		Solved: &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
+		List:   &configpb.List{WaitMs: p(30000)},
+		Probes: &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
 		Server: &configpb.Server{Connections: i(20000), BodyBytes: i(4 << 20), IdleMs: p(120000), HeaderMs: p(10000),
 			BodyMs: p(20000), WriteMs: p(10000)},
 	}
@@ -214,6 +217,17 @@
 	f.within("table_guard.jump", *c.TableGuard.Jump, 0, 1)
 	f.within("table_guard.list_lose", c.TableGuard.ListLose, 0, 1)
 	f.within("table_guard.list_hold_ms", *c.TableGuard.ListHoldMs, 0, hour)
+	n := c.Intake
+	f.within("intake.source_lines_per_s", *n.SourceLinesPerS, 1, 1e9)
+	f.within("intake.lines_per_s", *n.LinesPerS, 1, 1e9)
+	f.whole("intake.waiting", *n.Waiting, 1, 10000000)
+	f.whole("intake.round_lines", *n.RoundLines, 1, 10000000)
+	f.within("intake.fresh_ms", *n.FreshMs, 0, hour)
+	f.within("intake.half_life_ms", *n.HalfLifeMs, 1, hour)
+	f.within("intake.oldest_ms", *n.OldestMs, 1, hour)
+	f.within("intake.silent_ms", *n.SilentMs, 1, hour)
+	f.within("intake.unsure_ms", *n.UnsureMs, 1, hour)
+	f.within("intake.blind", *n.Blind, 0, 1)
 	f.within("solved.every_ms", *c.Solved.EveryMs, 100, 1000*hour)
 	f.within("solved.least_gain", *c.Solved.LeastGain, 0, 1)
 	f.within("list.wait_ms", *c.List.WaitMs, 100, hour)
@@ -284,6 +298,23 @@
 	return entries, f.err
 }
 
+// Intake gives the limits of what comes in.
+func Intake(c *configpb.Config) intake.Limits {
+	l, n := intake.DefaultLimits(), c.Intake
+	l.Waiting, l.Round, l.Believe = int(*n.Waiting), int(*n.RoundLines), !*n.Doubt
+	l.Fresh, l.HalfLife, l.Oldest = *n.FreshMs, *n.HalfLifeMs, *n.OldestMs
+	l.Silent, l.Unsure, l.Blind = *n.SilentMs, *n.UnsureMs, *n.Blind
+	return l
+}
+
+// Of gives a configuration as stewards of a recording's format went by it: before format 4 they believed load reports.
+func Of(c *configpb.Config, format int32) *configpb.Config {
+	if format < 4 {
+		c.Intake.Doubt = proto.Bool(false)
+	}
+	return c
+}
+
 // Steward makes the steward that a checked configuration describes.
 func Steward(c *configpb.Config, life string, seed uint64) *steward.Steward {
 	var classes []steward.Class
@@ -304,6 +335,7 @@
 		decide.Goal{Whole: *c.Goal.Whole, WorstClass: *c.Goal.WorstClass, ProbePrice: *c.Goal.ProbePrice},
 		steward.Polls{Step: *c.Polls.StepMs, WaitMost: *c.Polls.WaitMostMs, FirstWait: *c.Polls.FirstWaitMs,
 			LeaveAfter: *c.Polls.LeaveAfterMs, ForgetAfter: *c.Polls.ForgetAfterMs, History: int(*c.Polls.History)})
+	s.Intake(Intake(c))
 	if c.Solved.On {
 		s.Solve(*c.Solved.EveryMs, *c.Solved.LeastGain)
 	}
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -8,8 +8,10 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"time"
 
 	"barleysail/decide"
+	"barleysail/intake"
 	"barleysail/internal/http1"
 	"barleysail/solver"
 	"barleysail/steward"
@@ -29,6 +31,7 @@
 	m.Handle("GET", "/v1/proxies/{proxy}/tables", http1.Route{Serve: a.tables})
 	m.Handle("DELETE", "/v1/proxies/{proxy}", http1.Route{Serve: a.leave})
 	m.Handle("POST", "/v1/proxies/{proxy}/sums", http1.Route{Serve: a.sums, Media: []string{"application/json"}})
+	m.Handle("POST", "/v1/hosts/{host}/load", http1.Route{Serve: a.hostLoad, Media: []string{"application/json"}, MaxBody: 4096})
 	m.Handle("GET", "/v1/status", http1.Route{Serve: a.status})
 	m.Handle("GET", "/v1/fleet", http1.Route{Serve: a.fleet})
 	a.operators(m)
@@ -43,6 +46,10 @@
 		return http1.Problem{Status: 422, Detail: field.Reason, Field: field.Field}.Reply()
 	case errors.Is(err, steward.ErrNotJoined):
 		return http1.Problem{Status: 409, Detail: err.Error()}.Reply()
+	case errors.Is(err, steward.ErrNotListed):
+		return http1.Problem{Status: 404, Detail: err.Error()}.Reply()
+	case errors.Is(err, steward.ErrTwice):
+		return http1.Problem{Status: 429, Detail: err.Error()}.Reply("Retry-After", "1")
 	case errors.Is(err, errStopping):
 		return http1.Problem{Status: 503, Detail: err.Error()}.Reply("Retry-After", "1")
 	}
@@ -103,14 +110,16 @@
 
 // sumsBody is what a proxy posts. Times are milliseconds.
 type sumsBody struct {
-	Sender string `json:"sender"`
-	Number int64  `json:"number"`
+	Sender string  `json:"sender"`
+	Number int64   `json:"number"`
+	At     float64 `json:"at"`
 	Hosts  map[string]struct {
-		Tries  int       `json:"tries"`
-		Failed int       `json:"failed"`
-		Mean   float64   `json:"mean"`
-		Span   float64   `json:"span"`
-		Load   *loadBody `json:"load"`
+		Tries  int          `json:"tries"`
+		Failed int          `json:"failed"`
+		Mean   float64      `json:"mean"`
+		Span   float64      `json:"span"`
+		Load   *loadBody    `json:"load"`
+		Times  [][2]float64 `json:"times"`
 	} `json:"hosts"`
 	Usage map[string]struct {
 		Came       int     `json:"came"`
@@ -144,15 +153,56 @@
 	return load
 }
 
+// lineBytes is about what a line of sums takes.
+const lineBytes = 100
+
+// let asks at the door, before the body is read; without a reply the report may come in.
+func (a *api) let(source string, q *http1.Request) *http1.Reply {
+	ok, again := a.core.door.Let(time.Now(), source, len(q.Body)/lineBytes)
+	if ok {
+		return nil
+	}
+	r := http1.Problem{Status: 429, Detail: "more is sent than may come in now"}.Reply("Retry-After", strconv.Itoa(int(math.Ceil(again.Seconds()))))
+	return &r
+}
+
+func (a *api) hostLoad(q *http1.Request) http1.Reply {
+	host := q.Params["host"]
+	if r := a.let("/"+host, q); r != nil {
+		return *r
+	}
+	var b struct {
+		Sender string    `json:"sender"`
+		Number int64     `json:"number"`
+		At     float64   `json:"at"`
+		Load   *loadBody `json:"load"`
+	}
+	if err := readJSON(q, &b); err != nil {
+		return malformed(err)
+	}
+	counted, err := a.core.hostLoad(host, steward.HostLoad{Sender: b.Sender, Number: b.Number, Stamp: b.At, Load: b.Load.load()})
+	if err != nil {
+		return fail(err)
+	}
+	return jsonReply(map[string]any{"number": b.Number, "counted": counted})
+}
+
 func (a *api) sums(q *http1.Request) http1.Reply {
+	if r := a.let(q.Params["proxy"], q); r != nil {
+		return *r
+	}
 	var b sumsBody
 	if err := readJSON(q, &b); err != nil {
 		return malformed(err)
 	}
-	u := steward.Sums{Sender: b.Sender, Number: b.Number, Hosts: map[string]steward.HostSums{},
+	u := steward.Sums{Sender: b.Sender, Number: b.Number, Stamp: b.At, Hosts: map[string]steward.HostSums{},
 		Usage: map[string]steward.ClassUsage{}}
 	for host, v := range b.Hosts {
-		u.Hosts[host] = steward.HostSums{Tries: v.Tries, Failed: v.Failed, Mean: v.Mean, Span: v.Span, Load: v.Load.load()}
+		h := steward.HostSums{Tries: v.Tries, Failed: v.Failed, Mean: v.Mean, Span: v.Span, Load: v.Load.load()}
+		for _, t := range v.Times {
+			h.Times = append(h.Times, intake.Bar{Ms: t[0], Count: int64(t[1])})
+		}
+		u.Hosts[host] = h
 	}
 	for class, v := range b.Usage {
 		u.Usage[class] = steward.ClassUsage{Came: v.Came, Unanswered: v.Unanswered, Span: v.Span}
@@ -180,8 +230,9 @@
 	return jsonReply(struct {
 		Version string `json:"version"`
 		steward.Status
-		Gap *solver.Gap `json:"gap,omitempty"` // to the best tables, where hosts tell their cores
-	}{a.version, a.core.status(), a.core.gap()})
+		Door intake.DoorReport `json:"door"`
+		Gap  *solver.Gap       `json:"gap,omitempty"` // to the best tables, where hosts tell their cores
+	}{a.version, a.core.status(), a.core.door.Report(), a.core.gap()})
 }
 
 // fleet gives the solver's problem, for barleysail solve.
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"barleysail/decide"
+	"barleysail/intake"
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
 	"barleysail/operator"
@@ -38,6 +39,8 @@
 
 	mu      sync.Mutex
 	steward *steward.Steward
+	door    *intake.Door // before the lock: what it refuses costs the steward nothing
+	part    float64      // of the intake that is let in
 	last    float64
 	timer   *time.Timer
 	stopped bool
@@ -66,8 +69,8 @@
 	a  steward.Answer
 }
 
-func newCore(s *steward.Steward, log zerolog.Logger, rec *record.Writer) *core {
-	c := &core{clock: newClock(), log: log, steward: s, rec: rec, waiting: map[int64]func(steward.Answer){},
+func newCore(s *steward.Steward, door *intake.Door, log zerolog.Logger, rec *record.Writer) *core {
+	c := &core{clock: newClock(), log: log, steward: s, door: door, part: 1, rec: rec, waiting: map[int64]func(steward.Answer){},
 		followers: map[int64]func(){}}
 	c.timer = time.AfterFunc(time.Hour, func() { c.do(func(float64) {}) })
 	return c
@@ -119,6 +122,10 @@
 		c.flushAt = now + recordEvery
 		c.rec.Flush()
 	}
+	if part := c.steward.IntakePart(); part != c.part {
+		c.part = part
+		c.door.Narrow(time.Now(), part)
+	}
 	if wait := c.steward.Next() - now; !math.IsInf(wait, 1) {
 		c.timer.Reset(time.Duration(math.Max(wait, 0.2) * float64(time.Millisecond)))
 	}
@@ -213,6 +220,14 @@
 	return counted, err
 }
 
+// hostLoad gives a host's own load report to the steward.
+func (c *core) hostLoad(host string, r steward.HostLoad) (counted bool, err error) {
+	err = errStopping
+	c.input(func(now float64) *recordpb.Record { return record.HostLoad(now, host, r) },
+		func(now float64) { counted, err = c.steward.HostLoad(now, host, r) })
+	return counted, err
+}
+
 // operate gives operators' orders to the steward.
 func (c *core) operate(orders []operator.Order) (waits bool, err error) {
 	err = errStopping
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/prototext"
 
+	"barleysail/intake"
 	"barleysail/internal/config"
 	"barleysail/internal/config/configpb"
 	"barleysail/internal/http1"
@@ -71,7 +72,7 @@
 	if d.listener, err = net.Listen("tcp", c.Listen); err != nil {
 		return nil, fmt.Errorf("listening for proxies: %w", err)
 	}
-	d.core = newCore(config.Steward(c, life, seed), log, rec)
+	d.core = newCore(config.Steward(c, life, seed), intake.NewDoor(intake.DoorLimits{Source: *c.Intake.SourceLinesPerS, All: *c.Intake.LinesPerS}), log, rec)
 	if rec != nil {
 		text, _ := prototext.MarshalOptions{Multiline: true}.Marshal(c)
 		d.core.write(&recordpb.Record{At: d.core.clock.now(), What: &recordpb.Record_Start{Start: &recordpb.Start{
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -513,6 +513,7 @@
 	until(t, "the list", func() bool { return strings.Count(d.log.String(), "host list read") == 2 })
 	d.do("GET", "/v1/proxies/p/tables?zone=a", "")
 	d.do("POST", "/v1/proxies/p/sums", `{"number":1,"usage":{"sheet":{"came":100,"span":1000}}}`, "Content-Type", "application/json")
+	until(t, "the sums to be taken in", func() bool { return d.core.status().Intake.Taken > 0 })
 	var p solver.Problem
 	if g := d.do("GET", "/v1/fleet", ""); g.status != 200 || json.Unmarshal([]byte(g.body), &p) != nil {
 		t.Fatalf("%+v", g)
--- a/internal/record/inputs.go
+++ b/internal/record/inputs.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"barleysail/decide"
+	"barleysail/intake"
 	"barleysail/internal/record/recordpb"
 	"barleysail/operator"
 	"barleysail/steward"
@@ -63,13 +64,33 @@
 	return decide.Load{Util: l.Util, Rate: l.Rate, Queue: l.Queue}
 }
 
+func bars(times []intake.Bar) (all []*recordpb.Bar) {
+	for _, b := range times {
+		all = append(all, &recordpb.Bar{Ms: b.Ms, Count: b.Count})
+	}
+	return all
+}
+
+func unbars(times []*recordpb.Bar) (all []intake.Bar) {
+	for _, b := range times {
+		all = append(all, intake.Bar{Ms: b.Ms, Count: b.Count})
+	}
+	return all
+}
+
+// HostLoad records a host's own load report.
+func HostLoad(at float64, host string, r steward.HostLoad) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_HostReport{HostReport: &recordpb.HostReport{Host: host, Sender: r.Sender,
+		Number: r.Number, Stamp: r.Stamp, Load: load(r.Load)}}}
+}
+
 // Sums records sums, hosts and classes in order.
 func Sums(at float64, proxy string, u steward.Sums) *recordpb.Record {
-	s := &recordpb.Sums{Proxy: proxy, Sender: u.Sender, Number: u.Number}
+	s := &recordpb.Sums{Proxy: proxy, Sender: u.Sender, Number: u.Number, Stamp: u.Stamp}
 	for _, host := range slices.Sorted(maps.Keys(u.Hosts)) {
 		v := u.Hosts[host]
 		s.Hosts = append(s.Hosts, &recordpb.HostSums{Host: host, Tries: int64(v.Tries), Failed: int64(v.Failed),
-			Mean: v.Mean, Span: v.Span, Load: load(v.Load)})
+			Mean: v.Mean, Span: v.Span, Load: load(v.Load), Times: bars(v.Times)})
 	}
 	for _, class := range slices.Sorted(maps.Keys(u.Usage)) {
 		v := u.Usage[class]
@@ -147,16 +168,19 @@
 	case *recordpb.Record_Leave:
 		s.Leave(r.At, x.Leave, out)
 	case *recordpb.Record_Sums:
-		u := steward.Sums{Sender: x.Sums.Sender, Number: x.Sums.Number, Hosts: map[string]steward.HostSums{},
+		u := steward.Sums{Sender: x.Sums.Sender, Number: x.Sums.Number, Stamp: x.Sums.Stamp, Hosts: map[string]steward.HostSums{},
 			Usage: map[string]steward.ClassUsage{}}
 		for _, h := range x.Sums.Hosts {
 			u.Hosts[h.Host] = steward.HostSums{Tries: int(h.Tries), Failed: int(h.Failed), Mean: h.Mean, Span: h.Span,
-				Load: unload(h.Load)}
+				Load: unload(h.Load), Times: unbars(h.Times)}
 		}
 		for _, c := range x.Sums.Usage {
 			u.Usage[c.Class] = steward.ClassUsage{Came: int(c.Came), Unanswered: int(c.Unanswered), Span: c.Span}
 		}
 		s.Sums(r.At, x.Sums.Proxy, u)
+	case *recordpb.Record_HostReport:
+		h := x.HostReport
+		s.HostLoad(r.At, h.Host, steward.HostLoad{Sender: h.Sender, Number: h.Number, Stamp: h.Stamp, Load: unload(h.Load)})
 	case *recordpb.Record_Probed:
 		s.Probed(r.At, x.Probed.Host, decide.Outcome(x.Probed.Outcome), unload(x.Probed.Load))
 	case *recordpb.Record_Advance:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -9,6 +9,9 @@
 //
 // Format 3 has the same blocks; from it on a proxy's start tells when it shuns hosts and what it repeats.
 //
+// In format 4 sums may carry their sender's stamp and how times spread, and hosts' own load reports are inputs. Stewards of
+// earlier formats took load reports as they came; their replays do so too.
+//
 // Format 1, still read, has no first bytes and no blocks: each record is its length, its CRC-32C and its bytes.
 package record
 
@@ -28,7 +31,7 @@
 )
 
 // Format is the number of the format written, as recordings' starts tell it.
-const Format = 3
+const Format = 4
 
 const (
 	magic     = "BSAIL\x00\x00\x02"
--- a/steward/list.go
+++ b/steward/list.go
@@ -159,6 +159,9 @@
 			started = s.now
 		}
 		h := s.hosts.index(e.Host)
+		if old := s.list.entries[e.Host]; started > 0 && started != old.Started {
+			s.intake.trust.Restarted(e.Host)
+		}
 		s.module.Entry(h, s.zone[e.Zone], e.Phase, s.weight(e), started)
 		s.list.entries[e.Host] = e
 		s.guardHost(h, e)
@@ -185,6 +188,8 @@
 		}
 		if s.module.Forget(h) {
 			s.hosts.release(host)
+			s.intake.trust.Forget(host)
+			s.intake.queue.Forget(direct(host))
 			if h < len(s.moves) {
 				s.moves[h] = nil
 			}
--- a/steward/members.go
+++ b/steward/members.go
@@ -1,10 +1,12 @@
 package steward
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"unicode"
 
+	"barleysail/intake"
 	"barleysail/internal/core"
 )
 
@@ -21,9 +23,11 @@
 	noted    float64  // when expire looks at it next
 	message  *message // waiting in the channel
 	sent     []float64
-	sender   string // of its sums, and their number
-	number   int64
-	rates    []float64 // transactions a second that came lately, by class
+	senders  intake.Senders // of its sums
+	clock    intake.Clock   // theirs
+	twice    bool           // two of them are at work
+	pushed   []float64      // when polls of it took the place of one that was held
+	rates    []float64      // transactions a second that came lately, by class
 }
 
 // version is a numbered state of a proxy's tables. Numbers are never given twice in a steward's life, so a
@@ -107,6 +111,9 @@
 		m = s.join(q.Proxy, z, q.Rate)
 	}
 	if m.poll != nil {
+		if !m.mayPush(now) {
+			return ErrTwice
+		}
 		s.answer(m, m.poll)
 	}
 	base := s.acknowledge(m, q.Tags)
@@ -129,6 +136,28 @@
 	return nil
 }
 
+// ErrTwice answers a poll that would take the place of one that is held, where that has come too often: two proxies poll
+// under one name. The one that holds a poll stays.
+var ErrTwice = fmt.Errorf("another proxy polls under this name")
+
+// Polls that take the place of a held one are answered so often, in so many ms: a proxy that lost its connection needs
+// one, two proxies under one name would else answer each other for ever.
+const (
+	pushesMost = 10
+	pushesOver = 10000.0
+)
+
+func (m *member) mayPush(now float64) bool {
+	for len(m.pushed) > 0 && m.pushed[0] < now-pushesOver {
+		m.pushed = m.pushed[1:]
+	}
+	if len(m.pushed) >= pushesMost {
+		return false
+	}
+	m.pushed = append(m.pushed, now)
+	return true
+}
+
 // PollGone notes that nobody waits for a poll's answer any more.
 func (s *Steward) PollGone(now float64, proxy string, id int64) {
 	s.now = now
@@ -168,6 +197,7 @@
 		s.answer(m, m.poll)
 	}
 	s.channel.drop(m)
+	s.intake.queue.Forget(m.name)
 	s.event("left", m.name)
 	s.module.Left(m.index)
 	s.module.ForgetProxy(m.index)
--- a/steward/operate.go
+++ b/steward/operate.go
@@ -8,6 +8,7 @@
 	"sort"
 
 	"barleysail/decide"
+	"barleysail/intake"
 	"barleysail/operator"
 )
 
@@ -184,6 +185,7 @@
 	Why       decide.Explanation `json:"why"`
 	Cores     float64            `json:"cores,omitempty"`
 	Moves     []Move             `json:"moves,omitempty"` // the last ones, the newest last
+	Reports   *intake.HostReport `json:"reports,omitempty"`
 }
 
 // OperatorSet is what an operator set on a host.
@@ -280,6 +282,9 @@
 			i.Moves = slices.Clone(s.moves[h])
 		}
 	}
+	if r, ok := s.intake.trust.Host(s.now, host, s.capacity(host)); ok {
+		i.Reports = &r
+	}
 	if isSet {
 		i.Operator = &OperatorSet{set.State.String(), set.Weight, set.Part, set.Added != nil, set.By, set.At, set.Until, false}
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"barleysail/decide"
+	"barleysail/intake"
 	"barleysail/operator"
 )
 
@@ -85,6 +86,8 @@
 	tables  tables
 	channel channel
 
+	intake      reports
+	came        []float64 // of each class lately, for a proxy, a second
 	solved      solved
 	guarding    guarding
 	multiple    float64
@@ -108,6 +111,7 @@
 	polls Polls) *Steward {
 	s := &Steward{fleet: fleet, classes: classes, polls: polls, zone: map[string]int{}, class: map[string]int{}}
 	known := make([]decide.Class, len(classes))
+	s.came = make([]float64, len(classes))
 	for i, c := range classes {
 		known[i], s.class[c.Name] = c.Class, i
 	}
@@ -122,6 +126,7 @@
 	s.hosts, s.list, s.members = newIndices(), newList(), newMembers()
 	s.tables = newTables(len(classes), fleet.UsualTries)
 	s.channel = newChannel(channel)
+	s.Intake(intake.DefaultLimits())
 	s.round = rounds{at: math.Inf(-1), last: math.Inf(-1), wake: math.Inf(1)}
 	return s
 }
@@ -149,9 +154,11 @@
 
 // decide runs a round of the module.
 func (s *Steward) decide() {
+	s.keepPace()
 	s.round.start(s.now)
 	s.rounds++
 	s.tables.round++
+	s.takeIn()
 	s.module.Round(s.now, writer{s})
 	s.look()
 	s.order()
@@ -194,27 +201,30 @@
 func (s *Steward) Probed(now float64, host string, how decide.Outcome, load decide.Load) {
 	s.now = now
 	if h, ok := s.hosts.of[host]; ok {
-		s.module.Probed(h, how, load)
+		c := s.capacity(host)
+		s.intake.trust.Report(now, host, load, c)
+		s.module.Probed(h, how, s.intake.trust.Load(now, host, load, c))
 		s.round.soon(now, s.polls.Step)
 	}
 }
 
 // Status is what a steward says of itself.
 type Status struct {
-	Life           string   `json:"life"`
-	Zones          []string `json:"zones"`
-	Classes        []string `json:"classes"`
-	ListAgeMs      float64  `json:"list_age_ms"` // since the list last came; below 0: never
-	ListFailed     bool     `json:"list_failed"` // the last try to get it
-	Hosts          int      `json:"hosts"`
-	Joined         int      `json:"joined"`
-	Polls          int      `json:"polls"` // held now
-	LinesWaiting   float64  `json:"lines_waiting"`
-	Rounds         int64    `json:"rounds"`
-	Mode           string   `json:"mode"` // the last change of mode, as logged
-	ModeForMs      float64  `json:"mode_for_ms"`
-	IndicesInUse   int      `json:"indices_in_use"` // hosts listed or not yet forgotten
-	MessagesQueued int      `json:"messages_queued"`
+	Life           string       `json:"life"`
+	Zones          []string     `json:"zones"`
+	Classes        []string     `json:"classes"`
+	ListAgeMs      float64      `json:"list_age_ms"` // since the list last came; below 0: never
+	ListFailed     bool         `json:"list_failed"` // the last try to get it
+	Hosts          int          `json:"hosts"`
+	Joined         int          `json:"joined"`
+	Polls          int          `json:"polls"` // held now
+	LinesWaiting   float64      `json:"lines_waiting"`
+	Rounds         int64        `json:"rounds"`
+	Mode           string       `json:"mode"` // the last change of mode, as logged
+	ModeForMs      float64      `json:"mode_for_ms"`
+	IndicesInUse   int          `json:"indices_in_use"` // hosts listed or not yet forgotten
+	MessagesQueued int          `json:"messages_queued"`
+	Intake         IntakeReport `json:"intake"`
 }
 
 // Status tells how things stand.
@@ -222,7 +232,7 @@
 	st := Status{Life: s.fleet.Life, Zones: s.fleet.Zones, ListAgeMs: -1, ListFailed: s.list.failed,
 		Hosts: len(s.list.entries), Joined: len(s.members.byName), Polls: s.members.held,
 		LinesWaiting: s.channel.waiting(), Rounds: s.rounds, Mode: "ordinary", IndicesInUse: len(s.hosts.of),
-		MessagesQueued: s.channel.messages()}
+		MessagesQueued: s.channel.messages(), Intake: s.intakeReport(now)}
 	for _, c := range s.classes {
 		st.Classes = append(st.Classes, c.Name)
 	}
--- a/steward/sums.go
+++ b/steward/sums.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"barleysail/decide"
+	"barleysail/intake"
 )
 
 // HostSums is what a proxy met at a host: tries, those with no good answer, the mean time of the good ones,
@@ -14,6 +15,7 @@
 	Tries, Failed int
 	Mean, Span    float64
 	Load          decide.Load
+	Times         []intake.Bar // how the times of the good ones spread; nil: not told
 }
 
 // ClassUsage is what came to a proxy of a class, repeats and refused transactions among it.
@@ -26,6 +28,7 @@
 type Sums struct {
 	Sender string
 	Number int64
+	Stamp  float64 // ms, when it was sent by the sender's clock, however wrong; 0: not told
 	Hosts  map[string]HostSums
 	Usage  map[string]ClassUsage
 }
@@ -41,10 +44,29 @@
 	mostTries = 1 << 30
 	mostSpan  = 3600e3
 	mostLoad  = 1e9
+	mostBars  = 512
 )
 
-// Sums notes the sums of a proxy, once for each number. It tells whether they were counted: a repeat and one
-// that comes after a newer one are not. The error names the field, and nothing is counted.
+// checkTimes refuses a spread that does not count the good tries.
+func checkTimes(host string, v HostSums) error {
+	if len(v.Times) > mostBars {
+		return refuse(fmt.Sprintf("hosts[%q].times", host), "%d bars, %d at most", len(v.Times), mostBars)
+	}
+	n := int64(0)
+	for i, b := range v.Times {
+		if !(b.Ms >= 0 && b.Ms <= mostSpan) || b.Count < 1 || b.Count > mostTries {
+			return refuse(fmt.Sprintf("hosts[%q].times[%d]", host, i), "%d tries of %g ms", b.Count, b.Ms)
+		}
+		n += b.Count
+	}
+	if n > int64(v.Tries-v.Failed) {
+		return refuse(fmt.Sprintf("hosts[%q].times", host), "%d tries, %d were good", n, v.Tries-v.Failed)
+	}
+	return nil
+}
+
+// Sums notes the sums of a proxy, once for each number; the next round takes them in. It tells whether they were counted:
+// a repeat and one that comes after a newer one are not. The error names the field, and nothing is counted.
 func (s *Steward) Sums(now float64, proxy string, u Sums) (counted bool, err error) {
 	s.now = now
 	m := s.members.byName[proxy]
@@ -54,18 +76,25 @@
 	if err := s.checkSums(u); err != nil {
 		return false, err
 	}
-	if u.Sender == m.sender && u.Number <= m.number {
+	news, twice := m.senders.Take(now, u.Sender, u.Number)
+	if twice && !m.twice {
+		s.event("intake", "two senders send sums as "+proxy)
+	}
+	if m.twice = twice; !news {
 		return false, nil
 	}
-	m.sender, m.number = u.Sender, u.Number
+	at := now
+	if u.Stamp > 0 {
+		at -= m.clock.Age(now, u.Stamp)
+	}
 	for _, host := range slices.Sorted(maps.Keys(u.Hosts)) {
 		v := u.Hosts[host]
-		s.module.Heard(s.hosts.of[host], v.Tries, v.Failed, v.Mean, v.Span, v.Load)
+		s.intake.queue.Offer(intake.Line{Source: proxy, Of: host, Tries: v.Tries, Failed: v.Failed, Mean: v.Mean, Span: v.Span,
+			Load: v.Load, Times: v.Times, At: at})
 	}
 	for _, name := range slices.Sorted(maps.Keys(u.Usage)) {
-		v, k := u.Usage[name], s.class[name]
-		s.module.Usage(m.index, k, v.Came, v.Span)
-		m.rates[k] += lately * (float64(v.Came)/v.Span*1000 - m.rates[k])
+		v := u.Usage[name]
+		s.intake.queue.Offer(intake.Line{Source: proxy, Of: name, Usage: true, Tries: v.Came, Span: v.Span, Load: decide.NoLoad, At: at})
 	}
 	return true, nil
 }
@@ -90,6 +119,9 @@
 	if u.Number < 1 {
 		return refuse("number", "%d is not 1 or more", u.Number)
 	}
+	if !(u.Stamp >= 0 && u.Stamp <= 1e15) {
+		return refuse("at", "%g is no time", u.Stamp)
+	}
 	if u.Sender != "" {
 		if err := checkName("sender", u.Sender); err != nil {
 			return err
@@ -106,6 +138,9 @@
 			bound{"load.rate", v.Load.Rate, -1, mostLoad}, bound{"load.queue", v.Load.Queue, -1, mostLoad}); err != nil {
 			return err
 		}
+		if err := checkTimes(host, v); err != nil {
+			return err
+		}
 	}
 	for name, v := range u.Usage {
 		if _, ok := s.class[name]; !ok {
--- a/steward/tables.go
+++ b/steward/tables.go
@@ -156,7 +156,7 @@
 
 func (w writer) Mark(number int) { w.tables.marked = number }
 func (w writer) Probe(host int)  { w.out.Probe(w.hosts.names[host]) }
-func (w writer) Wake(at float64) { w.Steward.round.wake = at }
+func (w writer) Wake(at float64) { w.Steward.round.wake = w.now + (at-w.now)*w.intake.pace.Stretch() }
 func (w writer) Watch()          { w.out.Watch() }
 func (w writer) Log(text string) { w.log(text) }
 
