--- a/cmd/barleysail/replay.go
+++ b/cmd/barleysail/replay.go
@@ -197,11 +197,11 @@
 		last = r.At
 	}
 	fmt.Fprintf(w, "%s\t%s\t%.1f s\t%d\t%d\t%s\t%s\n", filepath.Base(name), clockTime(first), (last-first)/1000, n, info.Size(),
-		program, state(d))
+		program, recordingState(d))
 	return nil
 }
 
-func state(d *day) string {
+func recordingState(d *day) string {
 	switch {
 	case len(d.Faults) > 0:
 		return fmt.Sprintf("%d parts damaged", len(d.Faults))
@@ -225,7 +225,7 @@
 			}
 		}
 		d.file.Close()
-		fmt.Fprintf(c.OutOrStdout(), "%s: %d records, %s\n", name, n, state(d))
+		fmt.Fprintf(c.OutOrStdout(), "%s: %d records, %s\n", name, n, recordingState(d))
 		d.faults(c.OutOrStdout())
 		if !errors.Is(err, io.EOF) && !errors.Is(err, record.ErrTorn) {
 			fmt.Fprintf(c.OutOrStdout(), "%v\n", err)
--- a/decide/explain.go
+++ b/decide/explain.go
@@ -1,6 +1,9 @@
 package decide
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Explanation tells why a host's weight is what it is. It is read out and decides nothing; rates are transactions a
 // second, times ms.
@@ -21,12 +24,18 @@
 	Hold    float64 // no move before this time
 	Started float64 // -1: long ago
 	Strikes int     // probes in a row unanswered
+	Absent  bool    // the last unanswered one found nothing there
 	Fine    int     // and answered
 	Won     float64 // tries fulfilled and failed lately, faded
 	Lost    float64
 	Load    Load
 }
 
+// Fleet tells the level, each class's share, and the median of mean times, 0 where none is known.
+func (s *Steward) Fleet() (level float64, shares []float64, median float64) {
+	return s.level, slices.Clone(s.shares), s.median
+}
+
 // Explain tells how a host stands; false where the module does not know it.
 func (s *Steward) Explain(host int) (Explanation, bool) {
 	if host >= len(s.servers) || !s.servers[host].seen {
@@ -35,7 +44,7 @@
 	v := &s.servers[host]
 	e := Explanation{Phase: v.phase, Out: v.out, Serving: s.serving(v), Listed: v.listed, Weight: v.weight, Want: s.want(v, false),
 		Told: v.told, Rate: v.rate, R: v.r, Median: s.median, Warmth: s.warmth(v, s.guard), Trial: s.part(v), Hold: v.hold,
-		Started: v.started, Strikes: v.strikes, Fine: v.fine, Won: v.won, Lost: v.lost, Load: v.load}
+		Started: v.started, Strikes: v.strikes, Absent: v.absent, Fine: v.fine, Won: v.won, Lost: v.lost, Load: v.load}
 	if v.r > 0 && s.median > 0 {
 		e.Mu, e.Cap = v.rate+1000/v.r, capOf(v.rate, v.r, s.median)
 		e.K = math.Min(e.Mu-e.Cap, e.Mu)
--- a/decide/state.go
+++ b/decide/state.go
@@ -196,6 +196,29 @@
 	}
 }
 
+// Recall notes what an earlier life knew of a host, as far as the caller still trusts it: where the moves had put its
+// weight, as a part of the listed one; its mean time, 0 for unknown; and tries fulfilled and failed. It is evidence like
+// any other: moves, drift and sums go on from there, and it proves no withdrawal.
+func (s *Steward) Recall(host int, weight, r, won, lost float64) {
+	v := s.server(host)
+	v.weight = v.listed * weight
+	v.won, v.lost = won, lost
+	if r > 0 {
+		v.r = r
+	}
+}
+
+// RecallFleet notes the level, each class's share and the median of mean times that an earlier life had; 0 for a median
+// that is not known.
+func (s *Steward) RecallFleet(level float64, shares []float64, median float64) {
+	s.level = level
+	copy(s.shares, shares)
+	if s.tries = 1; level < 1 {
+		s.tries = 0
+	}
+	s.median = median
+}
+
 // Answered notes an answer to a mark. The channel keeps its order: what was ordered before has left it.
 func (s *Steward) Answered(number int) {
 	for i := range s.batches {
--- a/intake/trust.go
+++ b/intake/trust.go
@@ -111,6 +111,14 @@
 	return h
 }
 
+// Recall notes how far a host's reports were trusted in an earlier life.
+func (t *Trust) Recall(name string, trust float64) {
+	h := t.host(name)
+	if h.trust = trust; trust < doubtUnder {
+		h.doubted, h.why = true, "they were before the steward's start"
+	}
+}
+
 // Forget drops what is known of a host.
 func (t *Trust) Forget(name string) { delete(t.hosts, name) }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,7 @@
 		TableGuard: &configpb.TableGuard{Over: p(1), Jump: p(0.5), ListHoldMs: p(hour)},
 		Intake: &configpb.Intake{SourceLinesPerS: p(5000), LinesPerS: p(50000), Waiting: i(50000), RoundLines: i(20000), FreshMs: p(2000),
 			HalfLifeMs: p(10000), OldestMs: p(60000), Doubt: proto.Bool(true), SilentMs: p(5000), UnsureMs: p(10000), Blind: p(0.85)},
+		State:  &configpb.State{EveryMs: p(1000), MostBytes: i(64 << 20)},
 		Solved: &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
 		List:   &configpb.List{WaitMs: p(30000)},
 		Probes: &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
@@ -57,6 +58,9 @@
 	if err == nil && c.List.File != "" && !filepath.IsAbs(c.List.File) {
 		c.List.File = filepath.Join(filepath.Dir(file), c.List.File)
 	}
+	if err == nil && c.State.Folder != "" && !filepath.IsAbs(c.State.Folder) {
+		c.State.Folder = filepath.Join(filepath.Dir(file), c.State.Folder)
+	}
 	return c, err
 }
 
@@ -217,6 +221,8 @@
 	f.within("table_guard.jump", *c.TableGuard.Jump, 0, 1)
 	f.within("table_guard.list_lose", c.TableGuard.ListLose, 0, 1)
 	f.within("table_guard.list_hold_ms", *c.TableGuard.ListHoldMs, 0, hour)
+	f.within("state.every_ms", *c.State.EveryMs, 10, hour)
+	f.whole("state.most_bytes", *c.State.MostBytes, 4096, 1<<30)
 	n := c.Intake
 	f.within("intake.source_lines_per_s", *n.SourceLinesPerS, 1, 1e9)
 	f.within("intake.lines_per_s", *n.LinesPerS, 1, 1e9)
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -23,6 +23,7 @@
 // api is the front for proxies: long polls with deltas. It turns requests into calls and answers into replies.
 type api struct {
 	core    *core
+	keeper  *keeper // nil: nothing is kept
 	ops     *Operators
 	version string
 }
@@ -233,23 +234,25 @@
 		Version string `json:"version"`
 		steward.Status
 		Door intake.DoorReport `json:"door"`
+		Kept *KeeperReport     `json:"kept,omitempty"`
 		Gap  *solver.Gap       `json:"gap,omitempty"` // to the best tables, where hosts tell their cores
-	}{a.version, a.core.status(), a.core.door.Report(), a.core.gap()})
+	}{a.version, a.core.status(), a.core.door.Report(), a.keeper.status(), a.core.gap()})
 }
 
 // IntakeReport is how what comes in fares, and the memory in use.
 type IntakeReport struct {
 	steward.IntakeReport
-	Door      intake.DoorReport `json:"door"`
-	HeapBytes uint64            `json:"heap_bytes"`
-	LinesMost float64           `json:"lines_waiting_most"` // of the channel, since the start
+	Door         intake.DoorReport `json:"door"`
+	HeapBytes    uint64            `json:"heap_bytes"`
+	LinesMost    float64           `json:"lines_waiting_most"` // of the channel, since the start
+	GuardRefused int               `json:"guard_refused"`      // so often the table guard began to
 }
 
 func (a *api) intake() IntakeReport {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	st := a.core.status()
-	return IntakeReport{st.Intake, a.core.door.Report(), m.HeapAlloc, st.LinesMost}
+	return IntakeReport{st.Intake, a.core.door.Report(), m.HeapAlloc, st.LinesMost, st.GuardRefused}
 }
 
 // fleet gives the solver's problem, for barleysail solve.
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -13,6 +13,7 @@
 	"barleysail/internal/record/recordpb"
 	"barleysail/operator"
 	"barleysail/solver"
+	"barleysail/state"
 	"barleysail/steward"
 )
 
@@ -167,6 +168,17 @@
 	})
 }
 
+// recall tells the steward what an earlier life knew, before anything else; nothing is decided yet.
+func (c *core) recall(r *state.Recalled, make func(now float64) *recordpb.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = math.Max(c.clock.now(), c.last)
+	if c.rec != nil {
+		c.write(make(c.last))
+	}
+	c.steward.Recall(c.last, r)
+}
+
 func (c *core) listed(entries []steward.Entry) (err error) {
 	c.input(func(now float64) *recordpb.Record { return record.Listed(now, entries) },
 		func(now float64) { err = c.steward.Listed(now, entries) })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,8 @@
 	clients  []*http1.Client
 	fronts   []front
 	driven   sync.WaitGroup
+	keeper   *keeper
+	kept     sync.WaitGroup
 }
 
 // front is a runtime socket.
@@ -46,7 +48,7 @@
 }
 
 // Start starts a steward by a checked configuration.
-func Start(c *configpb.Config, version string, log zerolog.Logger) (d *Daemon, err error) {
+func Start(c *configpb.Config, version string, log zerolog.Logger) (_ *Daemon, err error) {
 	var random [16]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, fmt.Errorf("drawing a name for this life: %w", err)
@@ -56,7 +58,7 @@
 		seed = binary.LittleEndian.Uint64(random[8:])
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d = &Daemon{cancel: cancel}
+	d := &Daemon{cancel: cancel} // not the result, which is nil by the time it is closed after an error
 	defer func() {
 		if err != nil {
 			d.close()
@@ -78,6 +80,11 @@
 		d.core.write(&recordpb.Record{At: d.core.clock.now(), What: &recordpb.Record_Start{Start: &recordpb.Start{
 			Format: record.Format, Program: version, Config: string(text), Life: life, Seed: seed}}})
 	}
+	if c.State.Folder != "" {
+		if d.keeper, err = openKeeper(c.State.Folder, ms(*c.State.EveryMs), int(*c.State.MostBytes), *c.Guard.ColdMs, version, d.core, log); err != nil {
+			return nil, err
+		}
+	}
 	probes := &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 64 << 10}, Idle: 1024}
 	d.clients = append(d.clients, probes)
 	p := &prober{client: probes, path: c.Probes.Path, timeout: ms(*c.Probes.TimeoutMs),
@@ -86,7 +93,7 @@
 	if err := d.follow(ctx, c, log); err != nil {
 		return nil, err
 	}
-	a := &api{core: d.core, ops: d.Operators(), version: version}
+	a := &api{core: d.core, keeper: d.keeper, ops: d.Operators(), version: version}
 	d.server = http1.NewServer(a.mux(), http1.Config{Limits: http1.Limits{Body: int64(*c.Server.BodyBytes)},
 		Header: ms(*c.Server.HeaderMs), Body: ms(*c.Server.BodyMs), Idle: ms(*c.Server.IdleMs),
 		Write: ms(*c.Server.WriteMs), Conns: int(*c.Server.Connections)})
@@ -99,6 +106,10 @@
 		return nil, err
 	}
 	d.drive(ctx, c, life, log)
+	if d.keeper != nil {
+		d.kept.Add(1)
+		go func() { defer d.kept.Done(); d.keeper.run(ctx) }()
+	}
 	d.core.do(func(float64) {})
 	log.Info().Str("listen", d.Addr()).Str("life", life).Str("version", version).Msg("steward started")
 	return d, nil
@@ -202,6 +213,9 @@
 // connections are cut.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.listener.Close()
+	if d.keeper != nil {
+		d.keeper.save()
+	}
 	d.core.stop(true)
 	err := d.server.Shutdown(ctx)
 	d.close()
@@ -219,6 +233,10 @@
 func (d *Daemon) close() {
 	d.cancel()
 	d.driven.Wait()
+	d.kept.Wait()
+	if d.keeper != nil {
+		d.keeper.close()
+	}
 	for _, f := range d.fronts {
 		f.listener.Close()
 		f.server.Close()
--- /dev/null
+++ b/internal/daemon/keep.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"barleysail/internal/record"
+	"barleysail/internal/record/recordpb"
+	"barleysail/internal/statefile"
+	"barleysail/state"
+	"barleysail/state/statepb"
+)
+
+// keeper keeps what the steward learned in a folder. A disk that is full, slow or broken costs what would be kept, never a
+// decision: the state is taken under the steward's lock, and written without it.
+type keeper struct {
+	core    *core
+	log     zerolog.Logger
+	folder  *statefile.Folder
+	store   *statefile.Store
+	program string
+	every   time.Duration
+	wall    func() float64 // ms since 1970; not the clock that only advances
+
+	saving sync.Mutex
+	mu     sync.Mutex
+	report KeeperReport
+}
+
+// KeeperReport is how the keeping of the state stands.
+type KeeperReport struct {
+	Failed   string  `json:"failed"`     // why the last state was not kept; empty: it was
+	SavedMs  float64 `json:"saved_ms"`   // ms since 1970 when one last was; 0: never
+	Saves    int64   `json:"saves"`      // so often
+	TookMs   float64 `json:"took_ms"`    // the last one, syncing among it
+	LockedMs float64 `json:"locked_ms"`  // of which the steward waited
+	Dropped  int     `json:"dropped"`    // entries that did not fit
+	Notes    string  `json:"found_note"` // what was wrong with the state that was found
+}
+
+func wallNow() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
+// openKeeper opens the folder and recalls what it holds.
+func openKeeper(path string, every time.Duration, most int, cold float64, program string, c *core, log zerolog.Logger) (*keeper, error) {
+	folder, err := statefile.OpenFolder(path)
+	if err != nil {
+		return nil, err
+	}
+	k := &keeper{core: c, log: log, folder: folder, program: program, every: every, wall: wallNow}
+	found, err := statefile.Load(folder)
+	if err != nil {
+		folder.Close()
+		return nil, err
+	}
+	for _, note := range found.Notes {
+		log.Warn().Str("note", note).Msg("a part of the state is left out")
+		k.report.Notes += note + "; "
+	}
+	k.store = statefile.NewStore(folder, found, most)
+	if found.State == nil {
+		return k, nil
+	}
+	now := k.wall()
+	r := state.Age(found.State, now, state.DefaultLimits(cold))
+	text, err := proto.Marshal(found.State)
+	if err != nil {
+		folder.Close()
+		return nil, err
+	}
+	c.recall(r, func(at float64) *recordpb.Record { return record.Recall(at, text, now, cold) })
+	log.Info().Str("life", r.Life).Float64("passed_ms", r.Passed).Int("hosts", len(r.Hosts)).Int("proxies", len(r.Proxies)).Str("why", r.Why).Msg("an earlier life is recalled")
+	return k, nil
+}
+
+// run saves until the context ends.
+func (k *keeper) run(ctx context.Context) {
+	tick := time.NewTicker(k.every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			k.save()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// save takes the state and makes it last. A steward without a list has learned nothing: what was kept before stays.
+func (k *keeper) save() {
+	k.saving.Lock()
+	defer k.saving.Unlock()
+	began := time.Now()
+	var s *statepb.State
+	k.core.do(func(now float64) {
+		if k.core.steward.Status(now).ListAgeMs >= 0 {
+			s = k.core.steward.Remember(now)
+		}
+	})
+	locked := time.Since(began)
+	if s == nil {
+		return
+	}
+	state.Shift(s, k.wall()-s.At)
+	s.Program = k.program
+	err := k.store.Save(s)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r := &k.report
+	failed := ""
+	if err != nil {
+		failed = err.Error()
+	} else {
+		r.SavedMs, r.Saves = s.At, r.Saves+1
+	}
+	if failed != r.Failed {
+		if err != nil {
+			k.log.Error().Err(err).Msg("the state is not kept")
+		} else {
+			k.log.Info().Msg("the state is kept again")
+		}
+	}
+	r.Failed, r.Dropped = failed, k.store.Dropped
+	r.TookMs, r.LockedMs = float64(time.Since(began).Microseconds())/1000, float64(locked.Microseconds())/1000
+}
+
+func (k *keeper) status() *KeeperReport {
+	if k == nil {
+		return nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r := k.report
+	r.LockedMs = math.Round(r.LockedMs*1000) / 1000
+	return &r
+}
+
+func (k *keeper) close() {
+	k.store.Close()
+	k.folder.Close()
+}
--- a/internal/record/inputs.go
+++ b/internal/record/inputs.go
@@ -5,10 +5,14 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"barleysail/decide"
 	"barleysail/intake"
 	"barleysail/internal/record/recordpb"
 	"barleysail/operator"
+	"barleysail/state"
+	"barleysail/state/statepb"
 	"barleysail/steward"
 )
 
@@ -78,6 +82,11 @@
 	return all
 }
 
+// Recall records what an earlier life knew, as it was kept, with the wall clock's time.
+func Recall(at float64, text []byte, now, cold float64) *recordpb.Record {
+	return &recordpb.Record{At: at, What: &recordpb.Record_Recall{Recall: &recordpb.Recall{State: text, Now: now, Cold: cold}}}
+}
+
 // HostLoad records a host's own load report.
 func HostLoad(at float64, host string, r steward.HostLoad) *recordpb.Record {
 	return &recordpb.Record{At: at, What: &recordpb.Record_HostReport{HostReport: &recordpb.HostReport{Host: host, Sender: r.Sender,
@@ -178,6 +187,12 @@
 			u.Usage[c.Class] = steward.ClassUsage{Came: int(c.Came), Unanswered: int(c.Unanswered), Span: c.Span}
 		}
 		s.Sums(r.At, x.Sums.Proxy, u)
+	case *recordpb.Record_Recall:
+		kept := &statepb.State{}
+		if err := proto.Unmarshal(x.Recall.State, kept); err != nil {
+			return fmt.Errorf("reading a recorded state: %w", err)
+		}
+		s.Recall(r.At, state.Age(kept, x.Recall.Now, state.DefaultLimits(x.Recall.Cold)))
 	case *recordpb.Record_HostReport:
 		h := x.HostReport
 		s.HostLoad(r.At, h.Host, steward.HostLoad{Sender: h.Sender, Number: h.Number, Stamp: h.Stamp, Load: unload(h.Load)})
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -88,6 +88,12 @@
 // playDay plays a script; judge may change the figures that the rules are reckoned by.
 func playDay(ctx context.Context, script *daypb.Day, version, records, program string, out io.Writer,
 	log zerolog.Logger, judge func(*rules.Figures)) (*Result, error) {
+	return playing(ctx, script, version, records, program, out, log, judge, func(*day) {})
+}
+
+// playing plays a script, and shows the day before it is taken down.
+func playing(ctx context.Context, script *daypb.Day, version, records, program string, out io.Writer,
+	log zerolog.Logger, judge func(*rules.Figures), show func(*day)) (*Result, error) {
 	d := &day{script: script, version: version, records: records, program: program, out: out, log: log, journal: rules.NewJournal(),
 		taken: taken{client: &http.Client{Timeout: time.Second}}}
 	if err := d.check(); err != nil {
@@ -105,6 +111,7 @@
 	d.run(ctx)
 	figures := d.figures()
 	judge(&figures)
+	show(d)
 	return d.report(figures), ctx.Err()
 }
 
--- /dev/null
+++ b/internal/rehearse/reports_test.go
@@ -0,0 +1,76 @@
+package rehearse
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"barleysail/internal/rehearse/daypb"
+	"barleysail/internal/rules"
+)
+
+// played plays a script and gives the day for a look at what it saw.
+func played(t *testing.T, text string) (*Result, *day, string) {
+	t.Helper()
+	script := &daypb.Day{}
+	if err := prototext.Unmarshal([]byte(text), script); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	var seen *day
+	r, err := playing(context.Background(), script, "test", "", "", &out, zerolog.New(io.Discard), func(*rules.Figures) {}, func(d *day) { seen = d })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, seen, out.String()
+}
+
+// Sixty hosts that report ten times a second and twenty forwarders: one host floods at a hundred times the rate, one stops,
+// one tells a tenth of its load, one has a clock an hour ahead, and a tenth of the forwarders return at once. All rules
+// hold, the flood is stopped at the door, what stops and what lies is told, and nothing else is dropped.
+func TestReports(t *testing.T) {
+	t.Parallel()
+	r, d, out := played(t, `length_s: 12 seed: 5 stewards: 1 list_late_ms: 200
+steward { zones: ["a", "b"] classes { name: "sheet" due_ms: 1000 patience_ms: 2500 earnings: 3 }
+  classes { name: "finish" due_ms: 500 patience_ms: 1200 earnings: 9 } intake { source_lines_per_s: 50 silent_ms: 2000 } }
+hosts { zone: "a" count: 30 cores: 2 report_ms: 100 } hosts { zone: "b" count: 30 cores: 2 report_ms: 100 }
+forwarders { zone: "a" count: 10 } forwarders { zone: "b" count: 10 }
+traffic { class: "sheet" rate: 150 work_ms: 40 } traffic { class: "finish" rate: 150 work_ms: 20 effect: ONCE }
+steps { at_s: 1 for_s: 20 what: FLOOD zone: "a" first: 1 count: 1 size: 100 } steps { at_s: 2 for_s: 20 what: MUTE zone: "a" first: 2 count: 1 }
+steps { at_s: 1 for_s: 20 what: AHEAD zone: "b" first: 2 count: 1 size: 3600 } steps { at_s: 4 for_s: 1 what: CUT size: 0.1 }`)
+	last := d.taken.samples[len(d.taken.samples)-1]
+	if !r.Kept || r.Service < 0.5 {
+		t.Error(out)
+	}
+	if d.taken.refused.Load() == 0 || last.Door.Refused == 0 {
+		t.Errorf("the flood was let in: %+v", last)
+	}
+	if last.Silent < 1 || last.Taken < 3000 || last.Waiting > 5000 {
+		t.Errorf("%+v", last)
+	}
+}
+
+// Hosts of different sizes weighed alike at a load that fills the small ones: the guard refuses, and all rules hold while
+// one hangs, one drains and some are lost.
+func TestGuardRefusing(t *testing.T) {
+	t.Parallel()
+	r, d, out := played(t, `length_s: 12 seed: 6 stewards: 1 list_late_ms: 200
+steward { zones: ["a", "b"] classes { name: "sheet" due_ms: 1000 patience_ms: 2500 earnings: 3 }
+  classes { name: "finish" due_ms: 500 patience_ms: 1200 earnings: 9 } guard { cold_ms: 4000 grace_ms: 2500 }
+  table_guard { on: true refuse: true over: 0.8 jump: 0.3 } }
+hosts { zone: "a" count: 3 cores: 8 } hosts { zone: "a" count: 3 cores: 1 } hosts { zone: "b" count: 3 cores: 8 }
+forwarders { zone: "a" count: 2 } forwarders { zone: "b" count: 2 }
+traffic { class: "sheet" rate: 120 work_ms: 80 } traffic { class: "finish" rate: 60 work_ms: 40 effect: ONCE }
+steps { at_s: 4 for_s: 2 what: HANG zone: "b" count: 1 } steps { at_s: 5 for_s: 3 what: DRAIN zone: "a" count: 1 }
+steps { at_s: 6 for_s: 1.5 what: LOSE zone: "b" first: 1 count: 1 }`)
+	if !r.Kept || r.Service < 0.5 {
+		t.Error(out)
+	}
+	if last := d.taken.samples[len(d.taken.samples)-1]; last.GuardRefused == 0 {
+		t.Errorf("nothing was refused:\n%s", out)
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -116,6 +116,13 @@
 // Sets gives what is set, by host.
 func (b *Book) Sets() map[string]Set { return maps.Clone(b.sets) }
 
+// Recall puts back what was set in an earlier life.
+func (b *Book) Recall(host string, s Set) {
+	if !s.plain() {
+		b.sets[host] = s
+	}
+}
+
 // Set gives what is set on a host.
 func (b *Book) Set(host string) (Set, bool) { s, ok := b.sets[host]; return s, ok }
 
--- a/steward/acks.go
+++ b/steward/acks.go
@@ -19,6 +19,24 @@
 // tag names a version in a steward's life.
 func (s *Steward) tag(number int64) string { return s.fleet.Life + "-" + strconv.FormatInt(number, 10) }
 
+// tagOf names a version as the proxy knows it.
+func (s *Steward) tagOf(v *version) string {
+	if v.alias != "" {
+		return v.alias
+	}
+	return s.tag(v.number)
+}
+
+// inherited finds the version that has a tag from an earlier life.
+func (m *member) inherited(tag string) *version {
+	for i := range m.versions {
+		if v := &m.versions[i]; v.alias != "" && v.alias == tag {
+			return v
+		}
+	}
+	return nil
+}
+
 // acknowledge takes the newest version that the tags name as applied by the proxy, with all before it, and
 // gives its number, or 0 where no tag names a version of the history. A version is acknowledged once; a tag of
 // another life, or of a version never given to this proxy, acknowledges nothing.
@@ -30,6 +48,9 @@
 		if ours && err == nil && n > newest && m.version(n) != nil {
 			newest = n
 		}
+		if v := m.inherited(tag); v != nil && v.number > newest {
+			newest = v.number
+		}
 	}
 	if newest > m.acked {
 		for i := range m.versions {
--- a/steward/list.go
+++ b/steward/list.go
@@ -114,10 +114,14 @@
 	first := !l.known
 	l.known = true
 	if first {
+		for i := range sorted {
+			sorted[i].Started = s.started(sorted[i])
+		}
 		s.module.WholeList(true)
 		s.enter(sorted)
 		s.module.WholeList(false)
 		s.enter(sorted)
+		s.recallHosts(sorted)
 		for _, m := range s.members.byIndex { // until now an empty table was not told, see view
 			if m != nil && len(m.versions) > 0 {
 				s.channel.order(m, 1, false, mark{round: s.tables.round})
@@ -145,6 +149,8 @@
 		s.module.Entry(s.hosts.index(e.Host), s.zone[e.Zone], decide.Gone, s.weight(e), 0)
 		s.guarding.changed = true
 		delete(l.entries, e.Host)
+		delete(s.drained, e.Host)
+		delete(s.memory.drains, e.Host)
 		l.gone = append(l.gone, departed{e.Host, s.now + s.polls.ForgetAfter})
 	}
 	s.enter(changed)
@@ -165,6 +171,11 @@
 		s.module.Entry(h, s.zone[e.Zone], e.Phase, s.weight(e), started)
 		s.list.entries[e.Host] = e
 		s.guardHost(h, e)
+		if e.Phase != decide.Draining {
+			delete(s.drained, e.Host)
+		} else if s.drained[e.Host] == 0 {
+			s.drained[e.Host] = s.now
+		}
 	}
 }
 
--- a/steward/members.go
+++ b/steward/members.go
@@ -36,6 +36,7 @@
 	number int64
 	view   *View
 	marks  []mark
+	alias  string // the tag it has from an earlier life; empty: that of its number
 }
 
 // poll is held until the tables change or its time is over.
@@ -108,7 +109,8 @@
 		if len(s.members.byName) >= mostProxies {
 			return refuse("proxy", "%d proxies have joined, no more can", mostProxies)
 		}
-		m = s.join(q.Proxy, z, q.Rate)
+		m = s.join(q.Proxy, z, s.recalledRate(q.Proxy, q.Rate))
+		s.recallProxy(m, q.Tags)
 	}
 	if m.poll != nil {
 		if !m.mayPush(now) {
@@ -259,11 +261,11 @@
 		s.publish(m, nil)
 	}
 	newest := m.versions[len(m.versions)-1]
-	a := Answer{Proxy: m.name, Tag: s.tag(newest.number), view: newest.view, Kind: Whole}
+	a := Answer{Proxy: m.name, Tag: s.tagOf(&newest), view: newest.view, Kind: Whole}
 	if p.base == newest.number {
 		a.Kind = Same
 	} else if base := m.version(p.base); base != nil && p.delta {
-		a.Kind, a.Base, a.from = Delta, s.tag(p.base), base.view
+		a.Kind, a.Base, a.from = Delta, s.tagOf(base), base.view
 	}
 	s.out.Answer(p.id, a)
 }
@@ -281,7 +283,7 @@
 // publish makes what the tables now hold for a proxy its newest version.
 func (s *Steward) publish(m *member, marks []mark) {
 	s.members.number++
-	m.versions = append(m.versions, version{s.members.number, s.view(m), marks})
+	m.versions = append(m.versions, version{number: s.members.number, view: s.view(m), marks: marks})
 	for len(m.versions) > s.polls.History {
 		m.versions[1].marks = append(m.versions[0].marks, m.versions[1].marks...)
 		m.versions = append(m.versions[:0], m.versions[1:]...)
--- a/steward/operate.go
+++ b/steward/operate.go
@@ -312,7 +312,7 @@
 		m := s.members.byName[name]
 		i := ProxyInfo{Proxy: name, Zone: s.fleet.Zones[m.zone], Held: m.poll != nil, Rates: map[string]float64{}}
 		if n := len(m.versions); n > 0 {
-			i.Tag, i.Acked = s.tag(m.versions[n-1].number), m.acked == m.versions[n-1].number
+			i.Tag, i.Acked = s.tagOf(&m.versions[n-1]), m.acked == m.versions[n-1].number
 		}
 		if m.message != nil {
 			i.Waiting = m.message.lines
@@ -332,7 +332,7 @@
 		return Answer{}, false
 	}
 	v := m.versions[len(m.versions)-1]
-	return Answer{Kind: Whole, Proxy: proxy, Tag: s.tag(v.number), view: v.view}, true
+	return Answer{Kind: Whole, Proxy: proxy, Tag: s.tagOf(&v), view: v.view}, true
 }
 
 // Event is what a steward did or was told, worth an operator's eye.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -88,6 +88,8 @@
 
 	intake      reports
 	came        []float64 // of each class lately, for a proxy, a second
+	memory      memory
+	drained     map[string]float64 // since when hosts drain
 	solved      solved
 	guarding    guarding
 	multiple    float64
@@ -111,7 +113,7 @@
 	polls Polls) *Steward {
 	s := &Steward{fleet: fleet, classes: classes, polls: polls, zone: map[string]int{}, class: map[string]int{}}
 	known := make([]decide.Class, len(classes))
-	s.came = make([]float64, len(classes))
+	s.came, s.drained = make([]float64, len(classes)), map[string]float64{}
 	for i, c := range classes {
 		known[i], s.class[c.Name] = c.Class, i
 	}
@@ -210,22 +212,24 @@
 
 // Status is what a steward says of itself.
 type Status struct {
-	Life           string       `json:"life"`
-	Zones          []string     `json:"zones"`
-	Classes        []string     `json:"classes"`
-	ListAgeMs      float64      `json:"list_age_ms"` // since the list last came; below 0: never
-	ListFailed     bool         `json:"list_failed"` // the last try to get it
-	Hosts          int          `json:"hosts"`
-	Joined         int          `json:"joined"`
-	Polls          int          `json:"polls"` // held now
-	LinesWaiting   float64      `json:"lines_waiting"`
-	LinesMost      float64      `json:"lines_waiting_most"` // since the start
-	Rounds         int64        `json:"rounds"`
-	Mode           string       `json:"mode"` // the last change of mode, as logged
-	ModeForMs      float64      `json:"mode_for_ms"`
-	IndicesInUse   int          `json:"indices_in_use"` // hosts listed or not yet forgotten
-	MessagesQueued int          `json:"messages_queued"`
-	Intake         IntakeReport `json:"intake"`
+	Life           string        `json:"life"`
+	Zones          []string      `json:"zones"`
+	Classes        []string      `json:"classes"`
+	ListAgeMs      float64       `json:"list_age_ms"` // since the list last came; below 0: never
+	ListFailed     bool          `json:"list_failed"` // the last try to get it
+	Hosts          int           `json:"hosts"`
+	Joined         int           `json:"joined"`
+	Polls          int           `json:"polls"` // held now
+	LinesWaiting   float64       `json:"lines_waiting"`
+	LinesMost      float64       `json:"lines_waiting_most"` // since the start
+	Rounds         int64         `json:"rounds"`
+	Mode           string        `json:"mode"` // the last change of mode, as logged
+	ModeForMs      float64       `json:"mode_for_ms"`
+	IndicesInUse   int           `json:"indices_in_use"` // hosts listed or not yet forgotten
+	MessagesQueued int           `json:"messages_queued"`
+	Intake         IntakeReport  `json:"intake"`
+	GuardRefused   int           `json:"guard_refused"`    // so often the table guard began to
+	Memory         *MemoryReport `json:"memory,omitempty"` // what an earlier life knew
 }
 
 // Status tells how things stand.
@@ -233,7 +237,7 @@
 	st := Status{Life: s.fleet.Life, Zones: s.fleet.Zones, ListAgeMs: -1, ListFailed: s.list.failed,
 		Hosts: len(s.list.entries), Joined: len(s.members.byName), Polls: s.members.held,
 		LinesWaiting: s.channel.waiting(), LinesMost: s.channel.peak, Rounds: s.rounds, Mode: "ordinary", IndicesInUse: len(s.hosts.of),
-		MessagesQueued: s.channel.messages(), Intake: s.intakeReport(now)}
+		MessagesQueued: s.channel.messages(), Intake: s.intakeReport(now), GuardRefused: s.guarding.report.Refused, Memory: s.memoryReport()}
 	for _, c := range s.classes {
 		st.Classes = append(st.Classes, c.Name)
 	}
--- a/steward/view.go
+++ b/steward/view.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 	"sync"
+
+	"barleysail/state/statepb"
 )
 
 // View is what a proxy's tables hold in a version. It never changes; proxies with the same tables share one,
@@ -17,6 +19,7 @@
 
 	mu     sync.Mutex
 	deltas map[int64][]byte // by base; not by pointer, which would keep every view there ever was
+	kept   *statepb.Table   // as it is kept for another life
 }
 
 type classView struct {
