Standby: a steward that follows another's state and takes over with it

When a steward was lost its proxies went to one that knew nothing. A standby follows the first by long polls with changes (GET /v1/state), sends back the proxies that the first has, and begins with what the first knew when one comes whom it has not or no longer.

Loopback test: the first is killed, the proxy's tag of before gets a delta from the standby.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,10 +39,11 @@
 		TableGuard: &configpb.TableGuard{Over: p(1), Jump: p(0.5), ListHoldMs: p(hour)},
 		Intake: &configpb.Intake{SourceLinesPerS: p(5000), LinesPerS: p(50000), Waiting: i(50000), RoundLines: i(20000), FreshMs: p(2000),
 			HalfLifeMs: p(10000), OldestMs: p(60000), Doubt: proto.Bool(true), SilentMs: p(5000), UnsureMs: p(10000), Blind: p(0.85)},
-		State:  &configpb.State{EveryMs: p(1000), MostBytes: i(64 << 20)},
-		Solved: &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
-		List:   &configpb.List{WaitMs: p(30000)},
-		Probes: &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
+		Standby: &configpb.Standby{FreshMs: p(3000)},
+		State:   &configpb.State{EveryMs: p(1000), MostBytes: i(64 << 20)},
+		Solved:  &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
+		List:    &configpb.List{WaitMs: p(30000)},
+		Probes:  &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
 		Server: &configpb.Server{Connections: i(20000), BodyBytes: i(4 << 20), IdleMs: p(120000), HeaderMs: p(10000),
 			BodyMs: p(20000), WriteMs: p(10000)},
 	}
@@ -221,6 +222,10 @@
 	f.within("table_guard.jump", *c.TableGuard.Jump, 0, 1)
 	f.within("table_guard.list_lose", c.TableGuard.ListLose, 0, 1)
 	f.within("table_guard.list_hold_ms", *c.TableGuard.ListHoldMs, 0, hour)
+	if c.Standby.Of != "" && len(c.Sockets) > 0 {
+		f.fail("sockets", "a standby drives no sockets: it would take them from the steward that it stands by")
+	}
+	f.within("standby.fresh_ms", *c.Standby.FreshMs, 1500, hour)
 	f.within("state.every_ms", *c.State.EveryMs, 10, hour)
 	f.whole("state.most_bytes", *c.State.MostBytes, 4096, 1<<30)
 	n := c.Intake
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -22,10 +22,12 @@
 
 // api is the front for proxies: long polls with deltas. It turns requests into calls and answers into replies.
 type api struct {
-	core    *core
-	keeper  *keeper // nil: nothing is kept
-	ops     *Operators
-	version string
+	core      *core
+	keeper    *keeper   // nil: nothing is kept
+	standing  *standing // nil: it stands by nobody
+	following *following
+	ops       *Operators
+	version   string
 }
 
 func (a *api) mux() *http1.Mux {
@@ -34,6 +36,7 @@
 	m.Handle("DELETE", "/v1/proxies/{proxy}", http1.Route{Serve: a.leave})
 	m.Handle("POST", "/v1/proxies/{proxy}/sums", http1.Route{Serve: a.sums, Media: []string{"application/json"}})
 	m.Handle("POST", "/v1/hosts/{host}/load", http1.Route{Serve: a.hostLoad, Media: []string{"application/json"}, MaxBody: 4096})
+	m.Handle("GET", "/v1/state", http1.Route{Serve: a.following.serve})
 	m.Handle("GET", "/v1/intake", http1.Route{Serve: func(*http1.Request) http1.Reply { return jsonReply(a.intake()) }})
 	m.Handle("GET", "/v1/status", http1.Route{Serve: a.status})
 	m.Handle("GET", "/v1/fleet", http1.Route{Serve: a.fleet})
@@ -74,6 +77,11 @@
 		}
 		ask.Rate = rate
 	}
+	if a.standing != nil {
+		if ok, again := a.standing.may(ask.Proxy); !ok {
+			return http1.Problem{Status: 503, Detail: "another steward has this proxy; this one stands by"}.Reply("Retry-After", strconv.Itoa(int(math.Ceil(again.Seconds()))))
+		}
+	}
 	id := int64(0)
 	held := q.Hold(func() { a.core.pollGone(ask.Proxy, id) })
 	id, err := a.core.poll(ask, func(s steward.Answer) { held.Answer(reply(s, seconds, preferred)) })
@@ -233,10 +241,11 @@
 	return jsonReply(struct {
 		Version string `json:"version"`
 		steward.Status
-		Door intake.DoorReport `json:"door"`
-		Kept *KeeperReport     `json:"kept,omitempty"`
-		Gap  *solver.Gap       `json:"gap,omitempty"` // to the best tables, where hosts tell their cores
-	}{a.version, a.core.status(), a.core.door.Report(), a.keeper.status(), a.core.gap()})
+		Door    intake.DoorReport `json:"door"`
+		Kept    *KeeperReport     `json:"kept,omitempty"`
+		Standby *StandbyReport    `json:"standby,omitempty"`
+		Gap     *solver.Gap       `json:"gap,omitempty"` // to the best tables, where hosts tell their cores
+	}{a.version, a.core.status(), a.core.door.Report(), a.keeper.status(), a.standing.report(), a.core.gap()})
 }
 
 // IntakeReport is how what comes in fares, and the memory in use.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	fronts   []front
 	driven   sync.WaitGroup
 	keeper   *keeper
+	standing *standing
 	kept     sync.WaitGroup
 }
 
@@ -85,6 +86,12 @@
 			return nil, err
 		}
 	}
+	if c.Standby.Of != "" {
+		if d.standing, err = newStanding(c.Standby.Of, *c.Standby.FreshMs, *c.Guard.ColdMs, d.core, log); err != nil {
+			return nil, err
+		}
+		d.clients = append(d.clients, d.standing.client)
+	}
 	probes := &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 64 << 10}, Idle: 1024}
 	d.clients = append(d.clients, probes)
 	p := &prober{client: probes, path: c.Probes.Path, timeout: ms(*c.Probes.TimeoutMs),
@@ -93,7 +100,7 @@
 	if err := d.follow(ctx, c, log); err != nil {
 		return nil, err
 	}
-	a := &api{core: d.core, keeper: d.keeper, ops: d.Operators(), version: version}
+	a := &api{core: d.core, keeper: d.keeper, standing: d.standing, following: &following{core: d.core, life: life}, ops: d.Operators(), version: version}
 	d.server = http1.NewServer(a.mux(), http1.Config{Limits: http1.Limits{Body: int64(*c.Server.BodyBytes)},
 		Header: ms(*c.Server.HeaderMs), Body: ms(*c.Server.BodyMs), Idle: ms(*c.Server.IdleMs),
 		Write: ms(*c.Server.WriteMs), Conns: int(*c.Server.Connections)})
@@ -106,6 +113,10 @@
 		return nil, err
 	}
 	d.drive(ctx, c, life, log)
+	if d.standing != nil {
+		d.kept.Add(1)
+		go func() { defer d.kept.Done(); d.standing.run(ctx) }()
+	}
 	if d.keeper != nil {
 		d.kept.Add(1)
 		go func() { defer d.kept.Done(); d.keeper.run(ctx) }()
@@ -121,7 +132,7 @@
 func (d *Daemon) follow(ctx context.Context, c *configpb.Config, log zerolog.Logger) error {
 	if c.List.File != "" {
 		d.core.watch = func() {}
-		l := &listFile{file: c.List.File, log: log, take: d.core.listed}
+		l := &listFile{file: c.List.File, log: log, take: d.takes()}
 		if err := l.read(); err != nil {
 			return err
 		}
@@ -132,12 +143,20 @@
 	if err != nil {
 		return err
 	}
-	l.log, l.ctx, l.take, l.failed = log, ctx, d.core.listed, d.core.listFailed
+	l.log, l.ctx, l.take, l.failed = log, ctx, d.takes(), d.core.listFailed
 	d.clients = append(d.clients, l.client)
 	d.core.watch = l.watch
 	return nil
 }
 
+// takes is who takes the list: the steward, or one that stands by.
+func (d *Daemon) takes() func([]steward.Entry) error {
+	if d.standing != nil {
+		return d.standing.took
+	}
+	return d.core.listed
+}
+
 // Operators is the way for operators.
 func (d *Daemon) Operators() *Operators { return &Operators{core: d.core} }
 
--- /dev/null
+++ b/internal/daemon/standby.go
@@ -0,0 +1,182 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"barleysail/internal/http1"
+	"barleysail/internal/record"
+	"barleysail/internal/record/recordpb"
+	"barleysail/standby"
+	"barleysail/state"
+	"barleysail/state/statepb"
+	"barleysail/steward"
+)
+
+// standing is a steward that stands by another: it follows what the first knows, keeps the list in hand, and becomes a
+// steward with that knowledge when a proxy comes whom the first does not have.
+type standing struct {
+	core    *core
+	log     zerolog.Logger
+	client  *http1.Client
+	address string
+	cold    float64
+
+	mu     sync.Mutex
+	by     *standby.Standby
+	from   followed
+	list   []steward.Entry
+	listed bool
+	failed string
+	tookMs float64
+}
+
+// StandbyReport is how a standby stands.
+type StandbyReport struct {
+	Live    bool    `json:"live"`  // it serves
+	Fresh   bool    `json:"fresh"` // the first is heard
+	Proxies int     `json:"proxies"`
+	Sent    int64   `json:"sent_back"`
+	Failed  string  `json:"failed"` // why the first was not heard the last time
+	TookMs  float64 `json:"took_over_ms"`
+}
+
+func newStanding(of string, fresh, cold float64, c *core, log zerolog.Logger) (*standing, error) {
+	u, err := url.Parse(of)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("standby.of: %q is no http URL", of)
+	}
+	address := u.Host
+	if u.Port() == "" {
+		address += ":80"
+	}
+	return &standing{core: c, log: log, address: address, cold: cold, by: standby.New(standby.Limits{Fresh: fresh}),
+		client: &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 256 << 20}}}, nil
+}
+
+// run follows the first until the context ends, also once it serves: then for whom it may not.
+func (s *standing) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := s.follow(ctx); err != nil {
+			s.note(err)
+			select {
+			case <-time.After(200 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+func (s *standing) note(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if (text == "") != (s.failed == "") {
+		if err != nil {
+			s.log.Warn().Err(err).Msg("the first steward is not heard")
+		} else {
+			s.log.Info().Msg("the first steward is heard")
+		}
+	}
+	s.failed = text
+}
+
+func (s *standing) follow(ctx context.Context) error {
+	h := http1.Header("Prefer", "wait=1")
+	h["A-IM"] = []string{manipulate}
+	s.mu.Lock()
+	if s.from.tag != "" {
+		h.Set("If-None-Match", s.from.tag)
+	}
+	s.mu.Unlock()
+	limit, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	r, err := s.client.Call(limit, "GET", s.address, "/v1/state", h)
+	if err != nil {
+		return fmt.Errorf("following %s: %w", s.address, err)
+	}
+	s.mu.Lock()
+	news, err := s.from.take(r)
+	now := s.core.clock.now()
+	if err == nil && news {
+		var has []string
+		for _, p := range s.from.state.Proxies {
+			has = append(has, p.Name)
+		}
+		s.by.Heard(now, has)
+	} else if err == nil {
+		s.by.Still(now)
+	}
+	s.mu.Unlock()
+	if err == nil {
+		s.note(nil)
+	}
+	return err
+}
+
+// took takes the list: into hand until somebody is served.
+func (s *standing) took(entries []steward.Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list, s.listed = entries, true
+	if live, _ := s.by.Live(); live {
+		return s.core.listed(entries)
+	}
+	return nil
+}
+
+// may tells whether a proxy that polls may be served; with the first that is, the steward begins with what is known.
+func (s *standing) may(proxy string) (ok bool, again time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was, _ := s.by.Live()
+	ok, after := s.by.May(s.core.clock.now(), proxy)
+	if live, _ := s.by.Live(); live && !was {
+		s.takeOver()
+	}
+	return ok, ms(after)
+}
+
+func (s *standing) takeOver() {
+	began := time.Now()
+	kept := s.from.state
+	if kept == nil {
+		kept = &statepb.State{}
+	}
+	now := wallNow()
+	r := state.Age(kept, now, state.DefaultLimits(s.cold))
+	if text, err := proto.Marshal(kept); err == nil {
+		s.core.recall(r, func(at float64) *recordpb.Record { return record.Recall(at, text, now, s.cold) })
+	}
+	if s.listed {
+		if err := s.core.listed(s.list); err != nil {
+			s.log.Error().Err(err).Msg("the list was refused")
+		}
+	}
+	s.tookMs = float64(time.Since(began).Microseconds()) / 1000
+	s.log.Warn().Str("life", r.Life).Float64("passed_ms", math.Round(r.Passed)).Int("hosts", len(r.Hosts)).Int("proxies", len(r.Proxies)).Msg("taking over")
+}
+
+func (s *standing) report() *StandbyReport {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	live, _ := s.by.Live()
+	r := &StandbyReport{Live: live, Fresh: s.by.Fresh(s.core.clock.now()), Sent: s.by.Sent(), Failed: s.failed, TookMs: s.tookMs}
+	if s.from.state != nil {
+		r.Proxies = len(s.from.state.Proxies)
+	}
+	return r
+}
