A proxy may offer a steward what it holds; rehearse restarts with state and a standby

A proxy that changed stewards got the whole table even where little of it differed. POST .../tables offers the old one as a base; package client does so with Offer.

--- a/client/run.go
+++ b/client/run.go
@@ -76,17 +76,28 @@
 	if c.held.steward == steward {
 		tag = c.held.tag
 	}
+	offer, err := c.offer(steward)
 	c.mu.Unlock()
+	if err != nil {
+		return err
+	}
 	target := base + "/tables?zone=" + url.QueryEscape(c.o.Zone)
 	if c.o.Rate > 0 {
 		target += "&rate=" + strconv.FormatFloat(c.o.Rate, 'g', -1, 64)
 	}
 	limit, cancel := context.WithTimeout(ctx, c.o.Wait+10*time.Second)
 	defer cancel()
-	q, err := http.NewRequestWithContext(limit, http.MethodGet, target, nil)
+	method, sent := http.MethodGet, io.Reader(nil)
+	if offer != nil {
+		method, sent = http.MethodPost, bytes.NewReader(offer)
+	}
+	q, err := http.NewRequestWithContext(limit, method, target, sent)
 	if err != nil {
 		return err
 	}
+	if offer != nil {
+		q.Header.Set("Content-Type", "application/json")
+	}
 	q.Header.Set("Prefer", "wait="+strconv.Itoa(int(c.o.Wait.Seconds())))
 	q.Header.Set("A-IM", "merge-patch")
 	if tag != "" {
@@ -110,9 +121,15 @@
 		if im := r.Header.Get("IM"); !strings.EqualFold(im, "merge-patch") {
 			err = fmt.Errorf("the manipulation %q is not known", im)
 		} else {
+			if offer != nil {
+				c.held.steward = steward // it goes on from what was offered, or the base does not fit
+			}
 			err = c.held.delta(steward, r.Header.Get("Delta-Base"), r.Header.Get("ETag"), body)
 		}
 	case http.StatusNotModified:
+		if offer != nil {
+			c.held.steward = steward
+		}
 	default:
 		return fmt.Errorf("the steward answered %s: %.200s", r.Status, body)
 	}
@@ -130,6 +147,20 @@
 	return nil
 }
 
+// offer is what is held, for a steward that did not give it; nil where there is nothing to offer. The caller holds the lock.
+func (c *Client) offer(steward string) ([]byte, error) {
+	if !c.o.Offer || c.held.doc == nil || c.held.tag == "" || c.held.steward == steward {
+		return nil, nil
+	}
+	var doc map[string]json.RawMessage
+	if err := json.Unmarshal(c.held.doc, &doc); err != nil {
+		return nil, fmt.Errorf("offering what is held: %w", err)
+	}
+	tag, _ := json.Marshal(strings.Trim(c.held.tag, `"`))
+	doc["tag"] = tag
+	return json.Marshal(doc)
+}
+
 // sendSums sends what was met, each period. A report that got no answer is sent again, under its number, before
 // the next one; what was met meanwhile adds up.
 func (c *Client) sendSums(ctx context.Context) {
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net/textproto"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,6 +35,7 @@
 func (a *api) mux() *http1.Mux {
 	m := &http1.Mux{}
 	m.Handle("GET", "/v1/proxies/{proxy}/tables", http1.Route{Serve: a.tables})
+	m.Handle("POST", "/v1/proxies/{proxy}/tables", http1.Route{Serve: a.tables, Media: []string{"application/json"}})
 	m.Handle("DELETE", "/v1/proxies/{proxy}", http1.Route{Serve: a.leave})
 	m.Handle("POST", "/v1/proxies/{proxy}/sums", http1.Route{Serve: a.sums, Media: []string{"application/json"}})
 	m.Handle("POST", "/v1/hosts/{host}/load", http1.Route{Serve: a.hostLoad, Media: []string{"application/json"}, MaxBody: 4096})
@@ -77,6 +80,13 @@
 		}
 		ask.Rate = rate
 	}
+	if q.Method == "POST" {
+		offer, reply := readOffer(q)
+		if reply != nil {
+			return *reply
+		}
+		ask.Offer, ask.Tags = offer, []string{offer.Tag}
+	}
 	if a.standing != nil {
 		if ok, again := a.standing.may(ask.Proxy); !ok {
 			return http1.Problem{Status: 503, Detail: "another steward has this proxy; this one stands by"}.Reply("Retry-After", strconv.Itoa(int(math.Ceil(again.Seconds()))))
@@ -91,6 +101,39 @@
 	return http1.Reply{Held: held}
 }
 
+// readOffer reads what a proxy holds: the document that it was given, and its tag.
+func readOffer(q *http1.Request) (*steward.Offer, *http1.Reply) {
+	var b struct {
+		Tag    string `json:"tag"`
+		Proxy  string `json:"proxy"`
+		Tables map[string]struct {
+			Hosts map[string]float64 `json:"hosts"`
+			Share *float64           `json:"share"`
+			Tries *int               `json:"tries"`
+		} `json:"tables"`
+	}
+	if err := readJSON(q, &b); err != nil {
+		r := malformed(err)
+		return nil, &r
+	}
+	o := &steward.Offer{Tag: strings.Trim(b.Tag, `"`)}
+	for _, class := range slices.Sorted(maps.Keys(b.Tables)) {
+		v := b.Tables[class]
+		t := steward.Table{Class: class, Ordered: v.Hosts != nil, Share: 1, Tries: 1}
+		for _, host := range slices.Sorted(maps.Keys(v.Hosts)) {
+			t.Hosts, t.Weights = append(t.Hosts, host), append(t.Weights, v.Hosts[host])
+		}
+		if v.Share != nil {
+			t.Share = *v.Share
+		}
+		if v.Tries != nil {
+			t.Tries = *v.Tries
+		}
+		o.Tables = append(o.Tables, t)
+	}
+	return o, nil
+}
+
 // reply makes an answer of the steward a reply, by RFC 9110 (304, ETag), 3229 (226, IM, Delta-Base) and 7240.
 func reply(s steward.Answer, seconds float64, preferred bool) http1.Reply {
 	h := http1.Header("Etag", `"`+s.Tag+`"`, "Cache-Control", "no-store", "Vary", "A-IM, Prefer")
--- a/internal/daemon/standby_test.go
+++ b/internal/daemon/standby_test.go
@@ -1,15 +1,19 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"barleysail/client"
 	"barleysail/internal/http1"
 	"barleysail/state"
 	"barleysail/state/statepb"
+	"barleysail/steward"
 )
 
 // A standby follows the first, sends back the proxies that the first has, and once that is killed goes on from what it knew:
@@ -90,3 +94,54 @@
 		t.Errorf("a change onto another base: %v", err)
 	}
 }
+
+// A proxy that loses its steward offers the next one what it holds, and gets a delta onto it; an offer that cannot be is
+// refused with its field.
+func TestOffer(t *testing.T) {
+	first, second := begin(t, ""), begin(t, "")
+	g := first.do("GET", "/v1/proxies/p/tables?zone=a", "")
+	for i := 0; i < 100 && !strings.Contains(g.body, "10.0.0.2:80"); i++ {
+		g = first.do("GET", "/v1/proxies/p/tables?zone=a", "", "If-None-Match", g.header.Get("Etag"), "Prefer", "wait=1")
+	}
+	second.hosts(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "b" weight: 0.7 }`)
+	until(t, "the list", func() bool { return strings.Count(second.log.String(), "host list read") == 2 })
+	tag := strings.Trim(g.header.Get("Etag"), `"`)
+	offer := strings.Replace(g.body, "{", `{"tag":"`+tag+`",`, 1)
+	post := func(body string) got {
+		return second.do("POST", "/v1/proxies/p/tables?zone=a", body, "Content-Type", "application/json", "A-IM", "merge-patch", "Prefer", "wait=5")
+	}
+	for body, field := range map[string]string{`{"tag":"x","tables":{"nothing":{}}}`: "nothing", `{"tables":{}}`: "tag",
+		`{"tag":"x","tables":{"sheet":{"hosts":{"10.0.0.1:80":-1}}}}`: "hosts", `{"tag":"x","tables":{"sheet":{"tries":9}}}`: "sheet"} {
+		if g := post(body); g.status != 422 || !strings.Contains(g.body, field) {
+			t.Errorf("%s: %+v", body, g)
+		}
+	}
+	if g := post(offer); g.status != 226 || g.header.Get("Delta-Base") != `"`+tag+`"` || !strings.Contains(g.body, `"10.0.0.2:80":0.7`) || strings.Contains(g.body, "10.0.0.1:80") {
+		t.Errorf("%+v", g)
+	}
+
+	// The same by the client: it goes by the first's tables, then by the second's.
+	c, err := client.New(client.Options{Stewards: []string{first.url, second.url}, Proxy: "q", Zone: "a", Offer: true, Wait: time.Second, Least: 5 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	weight := func() float64 {
+		for _, h := range c.Tables()["sheet"].Hosts {
+			if h.Address == "10.0.0.2:80" {
+				return h.Weight
+			}
+		}
+		return 0
+	}
+	until(t, "the first's tables", func() bool { return weight() == 0.5 })
+	first.Kill()
+	until(t, "the second's", func() bool { return weight() == 0.7 })
+	if infos := look(second.core, (*steward.Steward).ProxyInfos); len(infos) == 0 || infos[len(infos)-1].Proxy != "q" {
+		t.Errorf("joined the second: %+v", infos)
+	}
+	cancel()
+	<-ended
+}
--- a/internal/record/inputs.go
+++ b/internal/record/inputs.go
@@ -43,8 +43,26 @@
 
 // Poll records a poll.
 func Poll(at float64, id int64, q steward.Query) *recordpb.Record {
-	return &recordpb.Record{At: at, What: &recordpb.Record_Poll{Poll: &recordpb.Poll{Id: id, Proxy: q.Proxy, Zone: q.Zone,
-		Rate: q.Rate, Tags: q.Tags, Any: q.Any, Delta: q.Delta, Wait: q.Wait}}}
+	p := &recordpb.Poll{Id: id, Proxy: q.Proxy, Zone: q.Zone, Rate: q.Rate, Tags: q.Tags, Any: q.Any, Delta: q.Delta, Wait: q.Wait}
+	if o := q.Offer; o != nil {
+		p.Offer = o.Tag
+		for _, t := range o.Tables {
+			p.Offered = append(p.Offered, &recordpb.Offered{Class: t.Class, Ordered: t.Ordered, Hosts: t.Hosts, Weights: t.Weights, Share: t.Share, Tries: int32(t.Tries)})
+		}
+	}
+	return &recordpb.Record{At: at, What: &recordpb.Record_Poll{Poll: p}}
+}
+
+// query gives a recorded poll.
+func query(p *recordpb.Poll) steward.Query {
+	q := steward.Query{Proxy: p.Proxy, Zone: p.Zone, Rate: p.Rate, Tags: p.Tags, Any: p.Any, Delta: p.Delta, Wait: p.Wait}
+	if p.Offer != "" {
+		q.Offer = &steward.Offer{Tag: p.Offer}
+		for _, t := range p.Offered {
+			q.Offer.Tables = append(q.Offer.Tables, steward.Table{Class: t.Class, Ordered: t.Ordered, Hosts: t.Hosts, Weights: t.Weights, Share: t.Share, Tries: int(t.Tries)})
+		}
+	}
+	return q
 }
 
 // PollGone records that a poll's caller is gone.
@@ -169,9 +187,7 @@
 	case *recordpb.Record_ListFailed:
 		s.ListFailed(r.At)
 	case *recordpb.Record_Poll:
-		p := x.Poll
-		s.Poll(r.At, p.Id, steward.Query{Proxy: p.Proxy, Zone: p.Zone, Rate: p.Rate, Tags: p.Tags, Any: p.Any,
-			Delta: p.Delta, Wait: p.Wait}, out)
+		s.Poll(r.At, x.Poll.Id, query(x.Poll), out)
 	case *recordpb.Record_PollGone:
 		s.PollGone(r.At, x.PollGone.Proxy, x.PollGone.Id)
 	case *recordpb.Record_Leave:
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -50,6 +50,7 @@
 
 	gaps    gaps
 	taken   taken
+	kills   []kill
 	program string // that stewards are started with; empty: they run in this process
 
 	mu         sync.Mutex
@@ -124,8 +125,8 @@
 		s.FallMs = 3000
 	}
 	if s.LengthS <= 0 || s.LengthS > 3600 || s.Stewards < 0 || s.Stewards > 16 || s.Steward == nil ||
-		len(s.Hosts) == 0 || len(s.Forwarders) == 0 || len(s.Traffic) == 0 {
-		return fmt.Errorf("the script: a day needs length_s (to 3600), stewards (to 16), steward, hosts, forwarders and traffic")
+		s.Standby && s.Stewards < 2 || len(s.Hosts) == 0 || len(s.Forwarders) == 0 || len(s.Traffic) == 0 {
+		return fmt.Errorf("the script: a day needs length_s (to 3600), stewards (to 16; two for a standby), steward, hosts, forwarders and traffic")
 	}
 	c := proto.Clone(s.Steward).(*configpb.Config)
 	c.List = &configpb.List{File: "hosts.textproto"}
@@ -230,6 +231,12 @@
 	if d.records != "" {
 		c.Record = filepath.Join(d.records, name+".day")
 	}
+	if d.script.State {
+		c.State.Folder = filepath.Join(d.dir, fmt.Sprintf("state-%d", i))
+	}
+	if last := int(d.script.Stewards) - 1; d.script.Standby && i == last {
+		c.Standby.Of = "http://" + d.addresses[0]
+	}
 	if d.program != "" {
 		return d.apart(c, name)
 	}
@@ -264,9 +271,7 @@
 				Period:  time.Duration(*d.config.Fleet.PeriodMs * float64(time.Millisecond)),
 				Journal: d.journal, Ended: d.service.ended, Log: func(text string) { d.log.Debug().Msg(text) }}
 			set.Socket = front == daypb.Front_SOCKET
-			for i := range d.addresses {
-				set.Stewards = append(set.Stewards, "http://"+d.addresses[(n+i)%len(d.addresses)])
-			}
+			set.Stewards = d.stewardsOf(n)
 			for _, t := range d.script.Traffic {
 				k := classes[t.Class]
 				set.Traffic = append(set.Traffic, standin.Traffic{Class: t.Class, Rate: t.Rate / float64(total),
@@ -292,6 +297,21 @@
 	return nil
 }
 
+// stewardsOf are those that a forwarder turns to, in order: dealt out in turn, one that stands by at the end.
+func (d *day) stewardsOf(n int) (urls []string) {
+	first := d.addresses
+	if d.script.Standby && len(first) > 1 {
+		first = first[:len(first)-1]
+	}
+	for i := range first {
+		urls = append(urls, "http://"+first[(n+i)%len(first)])
+	}
+	for _, a := range d.addresses[len(first):] {
+		urls = append(urls, "http://"+a)
+	}
+	return urls
+}
+
 // recordProxy has a forwarder's transactions recorded.
 func (d *day) recordProxy(set *standin.ForwarderSettings) error {
 	f, err := os.Create(filepath.Join(d.records, set.Name+".day"))
@@ -402,6 +422,7 @@
 	fmt.Fprintln(d.out)
 	d.gaps.print(d.out)
 	d.taken.print(d.out)
+	d.printRestarts()
 	for _, v := range r.Verdicts {
 		word := "kept"
 		if !v.Kept {
--- a/internal/rehearse/gap.go
+++ b/internal/rehearse/gap.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 
 	"barleysail/solver"
 )
@@ -16,8 +17,11 @@
 	worstClass  string
 	unmeasured  error
 	samplesOver int
+	samples     []sample
 }
 
+type sample struct{ at, gap float64 } // s from the day's start
+
 // sampleGap measures the tables as they stand.
 func (d *day) sampleGap(passed float64) {
 	p, tables := d.problem(), d.tables()
@@ -28,6 +32,7 @@
 	}
 	gap := g.Best - g.Result
 	d.gaps.n++
+	d.gaps.samples = append(d.gaps.samples, sample{passed, gap})
 	d.gaps.sum += gap
 	if len(g.Over) > 0 {
 		d.gaps.samplesOver++
@@ -104,3 +109,13 @@
 		fmt.Fprintf(out, "; hosts sent more than they can do in %d of %d samples\n", g.samplesOver, g.n)
 	}
 }
+
+// mean of the gaps from one time up to another, and how many there are.
+func (g *gaps) mean(from, to float64) (mean float64, n int) {
+	for _, s := range g.samples {
+		if s.at >= from && s.at < to {
+			mean, n = mean+s.gap, n+1
+		}
+	}
+	return mean / math.Max(float64(n), 1), n
+}
--- a/internal/rehearse/steps.go
+++ b/internal/rehearse/steps.go
@@ -182,6 +182,7 @@
 // kill ends a steward as the end of its process would, and starts another at its address.
 func (d *day) kill(ctx context.Context, i int, s *daypb.Step) {
 	d.stewards[i].Kill()
+	lost := time.Since(d.start).Seconds()
 	d.say("steward %d is killed", i)
 	wait(ctx, seconds(s.ForS))
 	next, err := d.steward(i, d.addresses[i])
@@ -194,5 +195,6 @@
 		return
 	}
 	d.stewards[i] = next
+	d.kills = append(d.kills, kill{i, lost, time.Since(d.start).Seconds()})
 	d.say("steward %d starts again", i)
 }
--- a/steward/members.go
+++ b/steward/members.go
@@ -72,6 +72,13 @@
 	Any         bool     // whatever there is will do: If-None-Match: *
 	Delta       bool     // a merge patch onto the tagged version will do
 	Wait        float64  // the poll may be held so long; below 0: not at all
+	Offer       *Offer   // what the proxy holds, where it tells; used where the steward does not know it
+}
+
+// Offer is what a proxy holds, under the tag that another steward gave it.
+type Offer struct {
+	Tag    string
+	Tables []Table
 }
 
 func checkName(field, name string) error {
@@ -100,6 +107,9 @@
 	if !(q.Rate >= 0 && q.Rate <= 1e9) {
 		return refuse("rate", "%g is not from 0 to 1e9", q.Rate)
 	}
+	if err := s.checkOffer(q.Offer); err != nil {
+		return err
+	}
 	m := s.members.byName[q.Proxy]
 	if m != nil && m.zone != z {
 		s.leave(m)
@@ -112,6 +122,9 @@
 		m = s.join(q.Proxy, z, s.recalledRate(q.Proxy, q.Rate))
 		s.recallProxy(m, q.Tags)
 	}
+	if o := q.Offer; o != nil && len(m.versions) == 0 {
+		s.inherit(m, o.Tag, s.offeredView(o.Tables))
+	}
 	if m.poll != nil {
 		if !m.mayPush(now) {
 			return ErrTwice
--- a/steward/remember.go
+++ b/steward/remember.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -111,12 +112,63 @@
 	}
 	if v := s.recalledView(p.Tables); v != nil {
 		s.memory.versions++
-		s.members.number++
-		m.versions = append(m.versions, version{number: s.members.number, view: v, alias: p.Tag})
-		m.acked = s.members.number
+		s.inherit(m, p.Tag, v)
 	}
 }
 
+// inherit makes what a proxy holds from elsewhere its version, so that a delta goes on from there.
+func (s *Steward) inherit(m *member, tag string, v *View) {
+	s.members.number++
+	m.versions = append(m.versions, version{number: s.members.number, view: v, alias: tag})
+	m.acked = s.members.number
+}
+
+// checkOffer refuses what no proxy can hold.
+func (s *Steward) checkOffer(o *Offer) error {
+	if o == nil {
+		return nil
+	}
+	if err := checkName("tag", o.Tag); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for _, t := range o.Tables {
+		field := fmt.Sprintf("tables[%q]", t.Class)
+		if _, ok := s.class[t.Class]; !ok || seen[t.Class] {
+			return refuse(field, "the class is not in the settings, or stands there twice")
+		}
+		if seen[t.Class] = true; !(t.Share >= 0) || math.IsInf(t.Share, 0) || t.Tries < 0 || t.Tries > 3 || len(t.Hosts) > mostHosts || len(t.Hosts) != len(t.Weights) {
+			return refuse(field, "share %g, tries %d, %d hosts with %d weights", t.Share, t.Tries, len(t.Hosts), len(t.Weights))
+		}
+		for i, host := range t.Hosts {
+			if w := t.Weights[i]; !(w > 0) || math.IsInf(w, 0) || i > 0 && host <= t.Hosts[i-1] || len(host) > 300 {
+				return refuse(field+".hosts", "%.300q has the weight %g, or is not in order", host, w)
+			}
+		}
+	}
+	return nil
+}
+
+// offeredView makes a view of tables that a proxy offers. A class it does not name was not ordered.
+func (s *Steward) offeredView(tables []Table) *View {
+	s.tables.views++
+	v := &View{id: s.tables.views}
+	for _, c := range s.classes {
+		k := classView{name: c.Name, level: level{1, s.tables.usual, true}}
+		for _, t := range tables {
+			if t.Class != c.Name {
+				continue
+			}
+			k.bound, k.level = t.Ordered, level{t.Share, t.Tries, true}
+			for i, host := range t.Hosts {
+				k.lines = append(k.lines, line{host, t.Weights[i]})
+			}
+		}
+		v.classes = append(v.classes, k)
+	}
+	return v
+}
+
 // recalledView makes a view of kept tables; nil where they are of other classes.
 func (s *Steward) recalledView(tables []*statepb.Class) *View {
 	if len(tables) != len(s.classes) {
