SPIFFE identities: mutual TLS, and who may do what judged at each request

Anybody who reached a steward's socket could poll as any proxy and set what operators set. Package auth decides by rules on SPIFFE IDs, denied where none allows; internal/identity takes SVIDs and roots from the Workload API (go-spiffe); internal/http1 speaks TLS 1.3, judges each request, ends connections before their identity does and bounds handshakes.

--- a/client/client.go
+++ b/client/client.go
@@ -67,7 +67,7 @@
 	Rate     float64  // transactions a second that it usually gets; 0: not told
 	Standing []string // hosts to go by until tables come
 
-	Offer    bool     // a steward that is new to it is told what it holds, so that it can go on from there with deltas
+	Offer bool // a steward that is new to it is told what it holds, so that it can go on from there with deltas
 
 	HTTP   *http.Client  // nil: one of its own
 	Wait   time.Duration // polls ask to be held so long: 30 s
--- a/cmd/barleysail/operate.go
+++ b/cmd/barleysail/operate.go
@@ -55,7 +55,11 @@
 	if !strings.Contains(u, "://") {
 		u = "http://" + u
 	}
-	return &remote{strings.TrimRight(u, "/"), &http.Client{Timeout: 90 * time.Second}}
+	c := &http.Client{Timeout: 90 * time.Second}
+	if strings.HasPrefix(u, "https://") {
+		c.Transport = proving()
+	}
+	return &remote{strings.TrimRight(u, "/"), c}
 }
 
 // problem is an error as the steward words it (RFC 9457).
--- a/cmd/barleysail/operate_test.go
+++ b/cmd/barleysail/operate_test.go
@@ -45,7 +45,7 @@
 func TestOperatorsCommands(t *testing.T) {
 	list := filepath.Join(t.TempDir(), "hosts.textproto")
 	os.WriteFile(list, []byte(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "a" weight: 0.5 }`), 0o644)
-	c, err := config.Parse("test", []byte(`zones: ["a"] classes { name: "sheet" due_ms: 1000 patience_ms: 2500 } listen: "127.0.0.1:0" probes { on: false } list { file: "`+list+`" }`))
+	c, err := config.Parse("test", []byte(`zones: ["a"] classes { name: "sheet" due_ms: 1000 patience_ms: 2500 } listen: "127.0.0.1:0" identity { plain_loopback: true } probes { on: false } list { file: "`+list+`" }`))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/barleysail/run.go
+++ b/cmd/barleysail/run.go
@@ -88,6 +88,17 @@
 				hosts = fmt.Sprintf("%d hosts", len(entries))
 			}
 			fmt.Fprintf(c.OutOrStdout(), "%s: good: %d zones, %d classes, %s\n", args[0], len(cfg.Zones), len(cfg.Classes), hosts)
+			p, err := config.Policy(cfg)
+			if err != nil {
+				return err
+			}
+			if p == nil {
+				fmt.Fprintln(c.OutOrStdout(), "no identities: anybody on this machine may do everything")
+				return config.MayStart(cfg)
+			}
+			for _, line := range p.Rules() {
+				fmt.Fprintln(c.OutOrStdout(), line)
+			}
 			return nil
 		}})
 	return c
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -13,9 +14,11 @@
 	"strconv"
 	"strings"
 
+	"github.com/spiffe/go-spiffe/v2/spiffeid"
 	"google.golang.org/protobuf/encoding/prototext"
 	"google.golang.org/protobuf/proto"
 
+	"barleysail/auth"
 	"barleysail/decide"
 	"barleysail/guard"
 	"barleysail/intake"
@@ -39,11 +42,12 @@
 		TableGuard: &configpb.TableGuard{Over: p(1), Jump: p(0.5), ListHoldMs: p(hour)},
 		Intake: &configpb.Intake{SourceLinesPerS: p(5000), LinesPerS: p(50000), Waiting: i(50000), RoundLines: i(20000), FreshMs: p(2000),
 			HalfLifeMs: p(10000), OldestMs: p(60000), Doubt: proto.Bool(true), SilentMs: p(5000), UnsureMs: p(10000), Blind: p(0.85)},
-		Standby: &configpb.Standby{FreshMs: p(3000)},
-		State:   &configpb.State{EveryMs: p(1000), MostBytes: i(64 << 20)},
-		Solved:  &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
-		List:    &configpb.List{WaitMs: p(30000)},
-		Probes:  &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
+		Identity: &configpb.Identity{Handshakes: i(32)},
+		Standby:  &configpb.Standby{FreshMs: p(3000)},
+		State:    &configpb.State{EveryMs: p(1000), MostBytes: i(64 << 20)},
+		Solved:   &configpb.Solved{EveryMs: p(30000), LeastGain: p(0.005)},
+		List:     &configpb.List{WaitMs: p(30000)},
+		Probes:   &configpb.Probes{On: proto.Bool(true), Path: "/health", TimeoutMs: p(250), AtOnce: i(64)},
 		Server: &configpb.Server{Connections: i(20000), BodyBytes: i(4 << 20), IdleMs: p(120000), HeaderMs: p(10000),
 			BodyMs: p(20000), WriteMs: p(10000)},
 	}
@@ -225,6 +229,7 @@
 	if c.Standby.Of != "" && len(c.Sockets) > 0 {
 		f.fail("sockets", "a standby drives no sockets: it would take them from the steward that it stands by")
 	}
+	f.identity(c)
 	f.within("standby.fresh_ms", *c.Standby.FreshMs, 1500, hour)
 	f.within("state.every_ms", *c.State.EveryMs, 10, hour)
 	f.whole("state.most_bytes", *c.State.MostBytes, 4096, 1<<30)
@@ -255,6 +260,74 @@
 	}
 }
 
+// identity checks who may do what.
+func (f *fields) identity(c *configpb.Config) {
+	n := c.Identity
+	f.whole("identity.handshakes", *n.Handshakes, 1, 10000)
+	if _, err := Policy(c); err != nil {
+		f.fail("identity.allow", "%v", err)
+	}
+	if n.WorkloadApi == "" {
+		if len(n.Allow) > 0 {
+			f.fail("identity.workload_api", "is missing, and rules are given")
+		}
+		return
+	}
+	if !strings.HasPrefix(n.WorkloadApi, "unix:///") {
+		f.fail("identity.workload_api", "%q does not begin with unix:///", n.WorkloadApi)
+	}
+	if n.PlainLoopback {
+		f.fail("identity.plain_loopback", "and a workload_api are given")
+	}
+	for field, x := range map[string][2]string{"standby.id": {c.Standby.Of, c.Standby.Id}, "list.id": {c.List.Url, c.List.Id}} {
+		if x[0] == "" {
+			continue
+		}
+		if _, err := spiffeid.FromString(x[1]); err != nil {
+			f.fail(field, "%q: %v", x[1], err)
+		}
+	}
+}
+
+// Policy reads who may do what; nil where identities are not used.
+func Policy(c *configpb.Config) (*auth.Policy, error) {
+	if c.Identity.WorkloadApi == "" && len(c.Identity.Allow) == 0 {
+		return nil, nil
+	}
+	var rules []auth.Rule
+	for i, a := range c.Identity.Allow {
+		var allowed []auth.Action
+		for _, name := range a.Actions {
+			x, err := auth.ParseAction(name)
+			if err != nil {
+				return nil, fmt.Errorf("rule %d: %w", i, err)
+			}
+			allowed = append(allowed, x)
+		}
+		r, err := auth.NewRule(a.Id, allowed)
+		if err != nil {
+			return nil, fmt.Errorf("rule %d: %w", i, err)
+		}
+		rules = append(rules, r)
+	}
+	return auth.NewPolicy(rules...), nil
+}
+
+// MayStart refuses a steward that would speak plain without its configuration saying so, or beyond loopback.
+func MayStart(c *configpb.Config) error {
+	if c.Identity.WorkloadApi != "" {
+		return nil
+	}
+	if !c.Identity.PlainLoopback {
+		return errors.New("no identity.workload_api is given: say identity { plain_loopback: true } to speak plain HTTP on loopback")
+	}
+	host, _, err := net.SplitHostPort(c.Listen)
+	if err != nil || !loopback(host) {
+		return fmt.Errorf("listen: %q is not on loopback, and without identities anybody might do everything", c.Listen)
+	}
+	return nil
+}
+
 // socket checks unix:PATH or address:port.
 func (f *fields) socket(field, address string) {
 	if path, ok := strings.CutPrefix(address, "unix:"); ok {
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -13,9 +13,11 @@
 	"strings"
 	"time"
 
+	"barleysail/auth"
 	"barleysail/decide"
 	"barleysail/intake"
 	"barleysail/internal/http1"
+	"barleysail/internal/identity"
 	"barleysail/solver"
 	"barleysail/steward"
 )
@@ -25,8 +27,10 @@
 // api is the front for proxies: long polls with deltas. It turns requests into calls and answers into replies.
 type api struct {
 	core      *core
-	keeper    *keeper   // nil: nothing is kept
-	standing  *standing // nil: it stands by nobody
+	policy    *auth.Policy     // nil: anybody may do everything
+	source    *identity.Source // nil: plain
+	keeper    *keeper          // nil: nothing is kept
+	standing  *standing        // nil: it stands by nobody
 	following *following
 	ops       *Operators
 	version   string
@@ -34,15 +38,15 @@
 
 func (a *api) mux() *http1.Mux {
 	m := &http1.Mux{}
-	m.Handle("GET", "/v1/proxies/{proxy}/tables", http1.Route{Serve: a.tables})
-	m.Handle("POST", "/v1/proxies/{proxy}/tables", http1.Route{Serve: a.tables, Media: []string{"application/json"}})
-	m.Handle("DELETE", "/v1/proxies/{proxy}", http1.Route{Serve: a.leave})
-	m.Handle("POST", "/v1/proxies/{proxy}/sums", http1.Route{Serve: a.sums, Media: []string{"application/json"}})
-	m.Handle("POST", "/v1/hosts/{host}/load", http1.Route{Serve: a.hostLoad, Media: []string{"application/json"}, MaxBody: 4096})
-	m.Handle("GET", "/v1/state", http1.Route{Serve: a.following.serve})
-	m.Handle("GET", "/v1/intake", http1.Route{Serve: func(*http1.Request) http1.Reply { return jsonReply(a.intake()) }})
-	m.Handle("GET", "/v1/status", http1.Route{Serve: a.status})
-	m.Handle("GET", "/v1/fleet", http1.Route{Serve: a.fleet})
+	m.Handle("GET", "/v1/proxies/{proxy}/tables", http1.Route{Serve: a.may(auth.Poll, a.tables)})
+	m.Handle("POST", "/v1/proxies/{proxy}/tables", http1.Route{Serve: a.may(auth.Poll, a.tables), Media: []string{"application/json"}})
+	m.Handle("DELETE", "/v1/proxies/{proxy}", http1.Route{Serve: a.may(auth.Poll, a.leave)})
+	m.Handle("POST", "/v1/proxies/{proxy}/sums", http1.Route{Serve: a.may(auth.Sums, a.sums), Media: []string{"application/json"}})
+	m.Handle("POST", "/v1/hosts/{host}/load", http1.Route{Serve: a.may(auth.Report, a.hostLoad), Media: []string{"application/json"}, MaxBody: 4096})
+	m.Handle("GET", "/v1/state", http1.Route{Serve: a.may(auth.Follow, a.following.serve)})
+	m.Handle("GET", "/v1/intake", http1.Route{Serve: a.may(auth.See, func(*http1.Request) http1.Reply { return jsonReply(a.intake()) })})
+	m.Handle("GET", "/v1/status", http1.Route{Serve: a.may(auth.See, a.status)})
+	m.Handle("GET", "/v1/fleet", http1.Route{Serve: a.may(auth.See, a.fleet)})
 	a.operators(m)
 	return m
 }
@@ -92,6 +96,7 @@
 			return http1.Problem{Status: 503, Detail: "another steward has this proxy; this one stands by"}.Reply("Retry-After", strconv.Itoa(int(math.Ceil(again.Seconds()))))
 		}
 	}
+	ask.Wait = holdFor(q, ask.Wait)
 	id := int64(0)
 	held := q.Hold(func() { a.core.pollGone(ask.Proxy, id) })
 	id, err := a.core.poll(ask, func(s steward.Answer) { held.Answer(reply(s, seconds, preferred)) })
@@ -284,11 +289,12 @@
 	return jsonReply(struct {
 		Version string `json:"version"`
 		steward.Status
-		Door    intake.DoorReport `json:"door"`
-		Kept    *KeeperReport     `json:"kept,omitempty"`
-		Standby *StandbyReport    `json:"standby,omitempty"`
-		Gap     *solver.Gap       `json:"gap,omitempty"` // to the best tables, where hosts tell their cores
-	}{a.version, a.core.status(), a.core.door.Report(), a.keeper.status(), a.standing.report(), a.core.gap()})
+		Door     intake.DoorReport `json:"door"`
+		Kept     *KeeperReport     `json:"kept,omitempty"`
+		Standby  *StandbyReport    `json:"standby,omitempty"`
+		Identity *IdentityReport   `json:"identity,omitempty"`
+		Gap      *solver.Gap       `json:"gap,omitempty"` // to the best tables, where hosts tell their cores
+	}{a.version, a.core.status(), a.core.door.Report(), a.keeper.status(), a.standing.report(), a.identity(), a.core.gap()})
 }
 
 // IntakeReport is how what comes in fares, and the memory in use.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"barleysail/internal/config"
 	"barleysail/internal/config/configpb"
 	"barleysail/internal/http1"
+	"barleysail/internal/identity"
 	"barleysail/internal/record"
 	"barleysail/internal/record/recordpb"
 	"barleysail/internal/runtimeapi"
@@ -39,6 +40,7 @@
 	driven   sync.WaitGroup
 	keeper   *keeper
 	standing *standing
+	source   *identity.Source // nil: plain
 	kept     sync.WaitGroup
 }
 
@@ -50,6 +52,9 @@
 
 // Start starts a steward by a checked configuration.
 func Start(c *configpb.Config, version string, log zerolog.Logger) (_ *Daemon, err error) {
+	if err := config.MayStart(c); err != nil {
+		return nil, err
+	}
 	var random [16]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, fmt.Errorf("drawing a name for this life: %w", err)
@@ -72,6 +77,10 @@
 		}
 		rec = record.NewWriter(d.record)
 	}
+	policy, secure, err := d.identify(ctx, c, log)
+	if err != nil {
+		return nil, err
+	}
 	if d.listener, err = net.Listen("tcp", c.Listen); err != nil {
 		return nil, fmt.Errorf("listening for proxies: %w", err)
 	}
@@ -90,6 +99,7 @@
 		if d.standing, err = newStanding(c.Standby.Of, *c.Standby.FreshMs, *c.Guard.ColdMs, d.core, log); err != nil {
 			return nil, err
 		}
+		d.standing.client.TLS = d.tlsFor(c.Standby.Id)
 		d.clients = append(d.clients, d.standing.client)
 	}
 	probes := &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 64 << 10}, Idle: 1024}
@@ -100,10 +110,11 @@
 	if err := d.follow(ctx, c, log); err != nil {
 		return nil, err
 	}
-	a := &api{core: d.core, keeper: d.keeper, standing: d.standing, following: &following{core: d.core, life: life}, ops: d.Operators(), version: version}
+	a := &api{core: d.core, policy: policy, source: d.source, keeper: d.keeper, standing: d.standing, following: &following{core: d.core, life: life}, ops: d.Operators(), version: version}
 	d.server = http1.NewServer(a.mux(), http1.Config{Limits: http1.Limits{Body: int64(*c.Server.BodyBytes)},
 		Header: ms(*c.Server.HeaderMs), Body: ms(*c.Server.BodyMs), Idle: ms(*c.Server.IdleMs),
-		Write: ms(*c.Server.WriteMs), Conns: int(*c.Server.Connections)})
+		Write: ms(*c.Server.WriteMs), Conns: int(*c.Server.Connections),
+		Secure: secure})
 	go func() {
 		if err := d.server.Serve(d.listener); err != nil {
 			log.Error().Err(err).Msg("no more connections are taken")
@@ -144,6 +155,7 @@
 		return err
 	}
 	l.log, l.ctx, l.take, l.failed = log, ctx, d.takes(), d.core.listFailed
+	l.client.TLS = d.tlsFor(c.List.Id)
 	d.clients = append(d.clients, l.client)
 	d.core.watch = l.watch
 	return nil
@@ -266,6 +278,9 @@
 	for _, c := range d.clients {
 		c.Close()
 	}
+	if d.source != nil {
+		d.source.Close()
+	}
 	if d.record != nil {
 		d.record.Close()
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -29,7 +29,7 @@
 )
 
 const base = `zones: ["a", "b"] classes { name: "sheet" due_ms: 1000 patience_ms: 2500 earnings: 3 }
-classes { name: "finish" due_ms: 500 patience_ms: 1200 earnings: 9 } listen: "127.0.0.1:0" seed: 7
+classes { name: "finish" due_ms: 500 patience_ms: 1200 earnings: 9 } listen: "127.0.0.1:0" seed: 7 identity { plain_loopback: true }
 probes { on: false } channel { lines_per_s: 1000000 most_waiting: 1000000 } `
 
 // started is a daemon with its list file.
--- /dev/null
+++ b/internal/daemon/identify.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spiffe/go-spiffe/v2/spiffeid"
+
+	"barleysail/auth"
+	"barleysail/internal/config"
+	"barleysail/internal/config/configpb"
+	"barleysail/internal/http1"
+	"barleysail/internal/identity"
+	"barleysail/steward"
+)
+
+// firstIdentity is how long a start waits for the issuer.
+const firstIdentity = 30 * time.Second
+
+// identify takes up the steward's identity, where it has one.
+func (d *Daemon) identify(ctx context.Context, c *configpb.Config, log zerolog.Logger) (*auth.Policy, *http1.Secure, error) {
+	policy, err := config.Policy(c)
+	if err != nil || c.Identity.WorkloadApi == "" {
+		return nil, nil, err
+	}
+	wait, cancel := context.WithTimeout(ctx, firstIdentity)
+	defer cancel()
+	if d.source, err = identity.Open(wait, c.Identity.WorkloadApi); err != nil {
+		return nil, nil, err
+	}
+	tell := func() {
+		id, until, err := d.source.Own()
+		if err != nil {
+			log.Error().Err(err).Msg("no identity")
+			return
+		}
+		log.Info().Str("id", id.String()).Time("until", until).Msg("identity taken up")
+	}
+	tell()
+	d.kept.Add(1)
+	go func() { defer d.kept.Done(); d.source.Follow(ctx, tell) }()
+	peer := func(s tls.ConnectionState) (http1.Peer, error) {
+		p, err := d.source.Peer(s)
+		if err != nil {
+			log.Warn().Err(err).Msg("a connection was refused")
+			return nil, err
+		}
+		return p, nil
+	}
+	return policy, &http1.Secure{TLS: d.source.Server(), Peer: peer, AtOnce: int(*c.Identity.Handshakes)}, nil
+}
+
+// tlsFor gives what a call to a server with an identity needs; nil where the steward has none itself.
+func (d *Daemon) tlsFor(id string) *tls.Config {
+	if d.source == nil {
+		return nil
+	}
+	return d.source.Client(func(is spiffeid.ID) error {
+		if is.String() != id {
+			return fmt.Errorf("it is %s, not %s", is, id)
+		}
+		return nil
+	})
+}
+
+// may lets a handler serve only who may do an action.
+func (a *api) may(action auth.Action, serve func(*http1.Request) http1.Reply) func(*http1.Request) http1.Reply {
+	return func(q *http1.Request) http1.Reply {
+		if a.policy == nil {
+			return serve(q)
+		}
+		p, ok := q.Peer.(*identity.Peer)
+		if !ok {
+			return http1.Problem{Status: 401, Detail: "the connection proves nobody"}.Reply()
+		}
+		r := auth.Request{Action: action, Proxy: q.Params["proxy"], Zone: q.Query.Get("zone"), Host: q.Params["host"]}
+		if r.Proxy != "" && action != auth.Poll { // what a request says of itself counts only where it joins
+			r.Zone = look(a.core, func(s *steward.Steward) string { return s.ZoneOf(r.Proxy) })
+		}
+		if v := a.policy.Decide(p.ID, r); !v.Allowed {
+			return http1.Problem{Status: 403, Detail: p.ID.String() + " may not " + string(action) + " here: " + strings.Join(v.Why, "; ")}.Reply()
+		}
+		return serve(q)
+	}
+}
+
+// holdFor bounds how long a poll is held by the time of its connection, in ms: the proxy comes again on one of its next
+// identity.
+func holdFor(q *http1.Request, wanted float64) float64 {
+	if at, ok := q.Retires(); ok {
+		return math.Min(wanted, math.Max(time.Until(at).Seconds()*1000, 0))
+	}
+	return wanted
+}
+
+// IdentityReport is how the steward's own identity stands.
+type IdentityReport struct {
+	ID     string  `json:"id"`
+	LeftMs float64 `json:"left_ms"` // until it is over
+	Failed string  `json:"failed"`
+}
+
+func (a *api) identity() *IdentityReport {
+	if a.source == nil {
+		return nil
+	}
+	id, until, err := a.source.Own()
+	if err != nil {
+		return &IdentityReport{Failed: err.Error()}
+	}
+	return &IdentityReport{ID: id.String(), LeftMs: math.Round(time.Until(until).Seconds() * 1000)}
+}
--- /dev/null
+++ b/internal/daemon/identity_test.go
@@ -0,0 +1,351 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/spiffe/go-spiffe/v2/spiffeid"
+
+	"barleysail/client"
+	"barleysail/internal/config"
+	"barleysail/internal/identity"
+	"barleysail/internal/standin/issuer"
+)
+
+const domain = "spiffe://race.example"
+
+// world is an issuer with workloads, and a steward that knows itself by it.
+type issued struct {
+	*started
+	folder string
+	root   *issuer.Authority
+	own    *issuer.Endpoint
+}
+
+func withIdentities(t *testing.T, more string) *issued {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "id") // a socket's path has to be short
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(folder) })
+	w := &issued{folder: folder}
+	if w.root, err = issuer.NewAuthority("race.example"); err != nil {
+		t.Fatal(err)
+	}
+	w.own = w.endpoint(t, "steward")
+	w.own.Give(w.sign(t, w.root, domain+"/steward/one", time.Hour, nil), []*issuer.Authority{w.root})
+	d := &started{t: t, list: folder + "/hosts.textproto", log: &lockedBuffer{}}
+	d.hosts(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "b" weight: 0.5 }`)
+	text := strings.Replace(base, "plain_loopback: true", fmt.Sprintf(`workload_api: %q
+		allow { id: "%[2]s/forwarder/{zone}/{proxy}" actions: "poll" actions: "sums" } allow { id: "%[2]s/host/{host}" actions: "report" }
+		allow { id: "%[2]s/operator/*" actions: "see" actions: "set" } allow { id: "%[2]s/steward/*" actions: "follow" }`, w.own.Address, domain), 1)
+	if d.cfg, err = config.Parse("test", []byte(text+more+fmt.Sprintf(" list { file: %q }", d.list))); err != nil {
+		t.Fatal(err)
+	}
+	d.start()
+	d.url = strings.Replace(d.url, "http:", "https:", 1)
+	w.started = d
+	t.Cleanup(func() { w.Kill() })
+	return w
+}
+
+func (w *issued) endpoint(t *testing.T, name string) *issuer.Endpoint {
+	t.Helper()
+	e, err := issuer.NewEndpoint(w.folder, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (w *issued) sign(t *testing.T, a *issuer.Authority, id string, life time.Duration, change func(*x509.Certificate)) *issuer.SVID {
+	t.Helper()
+	v, err := a.Sign(id, life, change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// as makes an HTTP client that proves an identity, by the library where that takes it and by hand where it must not.
+func (w *issued) as(t *testing.T, v *issuer.SVID) *http.Client {
+	t.Helper()
+	key, err := x509.ParsePKCS8PrivateKey(v.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert := tls.Certificate{Certificate: [][]byte{v.Cert}, PrivateKey: key}
+	x := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13, // whom we call is not what is tested
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &cert, nil }}}
+	t.Cleanup(x.CloseIdleConnections)
+	return &http.Client{Transport: x, Timeout: 20 * time.Second}
+}
+
+// ask gives the status, 0 where the connection was refused.
+func (w *issued) ask(c *http.Client, method, path, body string, header ...string) (status int, h http.Header, text string) {
+	q, err := http.NewRequest(method, w.url+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	r, err := c.Do(q)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer r.Body.Close()
+	b := make([]byte, 1<<16)
+	n := 0
+	for err == nil && n < len(b) {
+		var k int
+		k, err = r.Body.Read(b[n:])
+		n += k
+	}
+	return r.StatusCode, r.Header, string(b[:n])
+}
+
+// Who may do what is judged at each request, also on a connection that is kept.
+func TestWhoMayDoWhat(t *testing.T) {
+	w := withIdentities(t, "")
+	f1 := w.as(t, w.sign(t, w.root, domain+"/forwarder/a/f1", time.Hour, nil))
+	host := w.as(t, w.sign(t, w.root, domain+"/host/10.0.0.1_80", time.Hour, nil))
+	ann := w.as(t, w.sign(t, w.root, domain+"/operator/ann", time.Hour, nil))
+	two := w.as(t, w.sign(t, w.root, domain+"/steward/two", time.Hour, nil))
+	json := []string{"Content-Type", "application/json"}
+	for _, x := range []struct {
+		who                *http.Client
+		method, path, body string
+		want               int
+	}{
+		{f1, "GET", "/v1/proxies/f1/tables?zone=a", "", 200},
+		{f1, "GET", "/v1/proxies/f2/tables?zone=a", "", 403}, // a changed name over the kept connection
+		{f1, "GET", "/v1/proxies/f1/tables?zone=b", "", 403}, // of another site
+		{f1, "POST", "/v1/proxies/f1/sums", `{"number":1}`, 200},
+		{f1, "POST", "/v1/proxies/f2/sums?zone=a", `{"number":1}`, 403},
+		{f1, "DELETE", "/v1/proxies/f2", "", 403},
+		{f1, "GET", "/v1/status", "", 403},
+		{f1, "GET", "/v1/state", "", 403},
+		{host, "POST", "/v1/hosts/10.0.0.1:80/load", `{"number":1,"load":{"util":0.5}}`, 200},
+		{host, "POST", "/v1/hosts/10.0.0.2:80/load", `{"number":1,"load":{"util":0.5}}`, 403},
+		{host, "GET", "/v1/hosts", "", 403},
+		{ann, "GET", "/v1/hosts", "", 200},
+		{ann, "POST", "/v1/hosts/10.0.0.1:80/operator", `{"weight":2}`, 200},
+		{ann, "GET", "/v1/proxies/f1/tables?zone=a", "", 403},
+		{two, "GET", "/v1/state", "", 200},
+		{two, "POST", "/v1/hosts/10.0.0.1:80/operator", `{"weight":2}`, 403},
+	} {
+		if got, _, text := w.ask(x.who, x.method, x.path, x.body, json...); got != x.want {
+			t.Errorf("%s %s: %d, not %d: %s", x.method, x.path, got, x.want, text)
+		}
+	}
+	if n := w.core.status().Joined; n != 1 {
+		t.Errorf("%d have joined", n)
+	}
+}
+
+// Identities that must not be get no further than the handshake.
+func TestOddIdentities(t *testing.T) {
+	w := withIdentities(t, "")
+	other, err := issuer.NewAuthority("other.example")
+	if err != nil {
+		t.Fatal(err)
+	}
+	impostor, err := issuer.NewAuthority("race.example") // the same name, another root
+	if err != nil {
+		t.Fatal(err)
+	}
+	uri := func(texts ...string) func(*x509.Certificate) {
+		return func(c *x509.Certificate) {
+			c.URIs = nil
+			for _, x := range texts {
+				u, _ := url.Parse(x)
+				c.URIs = append(c.URIs, u)
+			}
+		}
+	}
+	f1 := domain + "/forwarder/a/f1"
+	for _, x := range []struct {
+		what   string
+		root   *issuer.Authority
+		life   time.Duration
+		change func(*x509.Certificate)
+		want   int
+	}{
+		{"as it should be", w.root, time.Hour, nil, 200},
+		{"of another trust domain", other, time.Hour, uri("spiffe://other.example/forwarder/a/f1"), 0},
+		{"of an impostor's root", impostor, time.Hour, nil, 0},
+		{"another's root for our name", other, time.Hour, nil, 0},
+		{"over", w.root, -time.Second, nil, 0},
+		{"not yet: the issuer's clock is five minutes ahead", w.root, time.Hour, func(c *x509.Certificate) { c.NotBefore = time.Now().Add(5 * time.Minute) }, 0},
+		{"a CA certificate as leaf", w.root, time.Hour, func(c *x509.Certificate) { c.IsCA, c.KeyUsage = true, x509.KeyUsageCertSign }, 0},
+		{"two URI names", w.root, time.Hour, uri(f1, domain+"/operator/ann"), 0},
+		{"none", w.root, time.Hour, uri(), 0},
+		{"upper case", w.root, time.Hour, uri("spiffe://RACE.example/forwarder/a/f1"), 0},
+		{"a port", w.root, time.Hour, uri("spiffe://race.example:80/forwarder/a/f1"), 0},
+		{"a query", w.root, time.Hour, uri(f1 + "?x"), 0},
+		{"a trailing slash", w.root, time.Hour, uri(f1 + "/"), 0},
+		{"another scheme", w.root, time.Hour, uri("https://race.example/forwarder/a/f1"), 0},
+	} {
+		got, _, text := w.ask(w.as(t, w.sign(t, x.root, f1, x.life, x.change)), "GET", "/v1/proxies/f1/tables?zone=a", "")
+		if got != x.want {
+			t.Errorf("%s: %d, not %d: %s", x.what, got, x.want, text)
+		}
+	}
+	plain, err := http.Get(strings.Replace(w.url, "https:", "http:", 1) + "/v1/status")
+	if err == nil && plain.StatusCode == 200 {
+		t.Error("a plain request was answered")
+	}
+	if n := w.core.status().Joined; n != 1 {
+		t.Errorf("%d have joined", n)
+	}
+}
+
+// A poll whose identity ends while it is held is told nothing after it: it ends in time, and the next one, on a connection
+// of the next identity, gets what was missed as a delta.
+func TestIdentityEndsDuringAPoll(t *testing.T) {
+	w := withIdentities(t, "")
+	id, path := domain+"/forwarder/a/f1", "/v1/proxies/f1/tables?zone=a"
+	long := w.as(t, w.sign(t, w.root, id, time.Hour, nil))
+	_, h, text := w.ask(long, "GET", path, "")
+	for i := 0; i < 100 && !strings.Contains(text, "10.0.0.2:80"); i++ {
+		_, h, text = w.ask(long, "GET", path, "", "If-None-Match", h.Get("Etag"), "Prefer", "wait=1")
+	}
+	tag := h.Get("Etag")
+	began := time.Now()
+	short := w.as(t, w.sign(t, w.root, id, 2*time.Second, nil))
+	status, h, _ := w.ask(short, "GET", path, "", "If-None-Match", tag, "Prefer", "wait=10", "A-IM", "merge-patch")
+	if took := time.Since(began); status != 304 || took > 2*time.Second {
+		t.Errorf("%d after %v", status, took)
+	}
+	w.hosts(`hosts { address: "10.0.0.1:80" zone: "a" phase: DRAINING } hosts { address: "10.0.0.2:80" zone: "b" weight: 0.5 }`)
+	time.Sleep(time.Until(began.Add(2100 * time.Millisecond))) // its end has to have passed; more does no harm
+	if status, _, text := w.ask(short, "GET", path, "", "If-None-Match", tag); status == 200 || status == 226 {
+		t.Errorf("told after its end: %d %s", status, text)
+	}
+	status, h, text = w.ask(long, "GET", path, "", "If-None-Match", tag, "Prefer", "wait=10", "A-IM", "merge-patch")
+	if status != 226 || h.Get("Delta-Base") != tag || !strings.Contains(text, `"10.0.0.1:80":null`) {
+		t.Errorf("%d %s", status, text)
+	}
+}
+
+// A root that is taken away ends what stands by it, and a new one is taken up, without a restart; while both are there both
+// serve.
+func TestRootsChange(t *testing.T) {
+	w := withIdentities(t, "")
+	fresh, err := issuer.NewAuthority("race.example")
+	if err != nil {
+		t.Fatal(err)
+	}
+	id, path := domain+"/forwarder/a/f1", "/v1/proxies/f1/tables?zone=a"
+	old, next := w.as(t, w.sign(t, w.root, id, time.Hour, nil)), w.as(t, w.sign(t, fresh, id, time.Hour, nil))
+	get := func(c *http.Client) int { s, _, _ := w.ask(c, "GET", path, ""); return s }
+	if a, b := get(old), get(next); a != 200 || b != 0 {
+		t.Errorf("old %d, next %d", a, b)
+	}
+	own := w.sign(t, w.root, domain+"/steward/one", time.Hour, nil)
+	w.own.Give(own, []*issuer.Authority{w.root, fresh})
+	until(t, "the new root", func() bool { return get(next) == 200 })
+	if got := get(old); got != 200 {
+		t.Errorf("old %d while both are there", got)
+	}
+	w.own.Give(own, []*issuer.Authority{fresh})
+	until(t, "the old root to be gone", func() bool { return get(old) != 200 })
+	if got := get(next); got != 200 {
+		t.Errorf("next %d", got)
+	}
+}
+
+// The issuer is away: the last good identity serves on, and status tells how long.
+func TestIssuerAway(t *testing.T) {
+	w := withIdentities(t, "")
+	w.own.Close()
+	f1 := w.as(t, w.sign(t, w.root, domain+"/forwarder/a/f1", time.Hour, nil))
+	ann := w.as(t, w.sign(t, w.root, domain+"/operator/ann", time.Hour, nil))
+	if s, _, _ := w.ask(f1, "GET", "/v1/proxies/f1/tables?zone=a", ""); s != 200 {
+		t.Errorf("%d", s)
+	}
+	if _, _, text := w.ask(ann, "GET", "/v1/status", ""); !strings.Contains(text, `"identity":{"id":"spiffe://race.example/steward/one","left_ms":3`) {
+		t.Errorf("%s", text)
+	}
+}
+
+// A client whose identities live a second or two, renewed again and again while it polls and sends sums, never goes without: what
+// its steward decides comes through, and no transaction lacks a host.
+func TestRenewals(t *testing.T) {
+	w := withIdentities(t, "")
+	e := w.endpoint(t, "f1")
+	give := func() { // a certificate's times are whole seconds, so it lives from one to two
+		e.Give(w.sign(t, w.root, domain+"/forwarder/a/f1", 2*time.Second, nil), []*issuer.Authority{w.root})
+	}
+	give()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	source, err := identity.Open(ctx, e.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer source.Close()
+	tlsOf := source.Client(func(id spiffeid.ID) error {
+		if id.String() != domain+"/steward/one" {
+			return fmt.Errorf("an impostor: %s", id)
+		}
+		return nil
+	})
+	x := &http.Transport{TLSClientConfig: tlsOf}
+	defer x.CloseIdleConnections()
+	lost := atomic.Int64{}
+	c, err := client.New(client.Options{Stewards: []string{w.url}, Proxy: "f1", Zone: "a", HTTP: &http.Client{Transport: x}, Wait: 5 * time.Second,
+		Period: 50 * time.Millisecond, Least: 5 * time.Millisecond, Most: 20 * time.Millisecond, Log: func(text string) {
+			if strings.Contains(text, "lost") {
+				lost.Add(1)
+				t.Log(text)
+			}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	until(t, "tables", func() bool { _, ok := c.Pick("sheet"); return ok })
+	began := time.Now()
+	for i := range 16 { // four seconds, each identity renewed at a quarter of a second
+		give()
+		weight := 0.5 + float64(i%4)/10
+		w.hosts(fmt.Sprintf(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "b" weight: %g }`, weight))
+		for next := began.Add(time.Duration(i+1) * 250 * time.Millisecond); time.Now().Before(next); time.Sleep(5 * time.Millisecond) {
+			if err := c.Do(ctx, "sheet", func(context.Context, string) client.Try { return client.Try{} }); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	w.hosts(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "b" phase: DRAINING }`)
+	until(t, "the last change", func() bool {
+		give()
+		for _, h := range c.Tables()["sheet"].Hosts {
+			if h.Address == "10.0.0.2:80" {
+				return false
+			}
+		}
+		return true
+	})
+	if n := w.core.status(); n.Joined != 1 || n.Intake.Taken == 0 {
+		t.Errorf("%+v", n)
+	}
+	if n := lost.Load(); n > 0 {
+		t.Errorf("the steward was lost %d times", n)
+	}
+	cancel()
+	<-ended
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"barleysail/auth"
 	"barleysail/internal/http1"
 	"barleysail/operator"
 	"barleysail/steward"
@@ -63,21 +64,21 @@
 }
 
 func (a *api) operators(m *http1.Mux) {
-	m.Handle("GET", "/v1/hosts", http1.Route{Serve: func(*http1.Request) http1.Reply {
+	m.Handle("GET", "/v1/hosts", http1.Route{Serve: a.may(auth.See, func(*http1.Request) http1.Reply {
 		return jsonReply(map[string]any{"hosts": a.ops.Hosts()})
-	}})
-	m.Handle("GET", "/v1/hosts/{host}", http1.Route{Serve: a.host})
-	m.Handle("POST", "/v1/hosts/{host}/operator", http1.Route{Serve: a.operate, Media: []string{"application/json"}, MaxBody: 4096})
-	m.Handle("POST", "/v1/zones/{zone}/operator", http1.Route{Serve: a.operateZone, Media: []string{"application/json"}, MaxBody: 4096})
-	m.Handle("GET", "/v1/proxies", http1.Route{Serve: func(*http1.Request) http1.Reply {
+	})})
+	m.Handle("GET", "/v1/hosts/{host}", http1.Route{Serve: a.may(auth.See, a.host)})
+	m.Handle("POST", "/v1/hosts/{host}/operator", http1.Route{Serve: a.may(auth.Set, a.operate), Media: []string{"application/json"}, MaxBody: 4096})
+	m.Handle("POST", "/v1/zones/{zone}/operator", http1.Route{Serve: a.may(auth.Set, a.operateZone), Media: []string{"application/json"}, MaxBody: 4096})
+	m.Handle("GET", "/v1/proxies", http1.Route{Serve: a.may(auth.See, func(*http1.Request) http1.Reply {
 		return jsonReply(map[string]any{"proxies": a.ops.Proxies()})
-	}})
-	m.Handle("GET", "/v1/proxies/{proxy}/holds", http1.Route{Serve: a.holds})
-	m.Handle("GET", "/v1/guard", http1.Route{Serve: func(*http1.Request) http1.Reply {
+	})})
+	m.Handle("GET", "/v1/proxies/{proxy}/holds", http1.Route{Serve: a.may(auth.See, a.holds)})
+	m.Handle("GET", "/v1/guard", http1.Route{Serve: a.may(auth.See, func(*http1.Request) http1.Reply {
 		return jsonReply(look(a.core, (*steward.Steward).GuardReport))
-	}})
-	m.Handle("POST", "/v1/guard/check", http1.Route{Serve: a.guardCheck, Media: []string{"application/json"}})
-	m.Handle("GET", "/v1/events", http1.Route{Serve: a.events})
+	})})
+	m.Handle("POST", "/v1/guard/check", http1.Route{Serve: a.may(auth.See, a.guardCheck), Media: []string{"application/json"}})
+	m.Handle("GET", "/v1/events", http1.Route{Serve: a.may(auth.See, a.events)})
 }
 
 func (a *api) host(q *http1.Request) http1.Reply {
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -22,8 +23,9 @@
 
 // Client calls servers, and keeps an idle connection to each. It follows no redirects.
 type Client struct {
-	Limits Limits // 0: 8 KiB a line, 32 KiB of header, 4 MiB of body
-	Idle   int    // connections kept; 0: 256
+	Limits Limits      // 0: 8 KiB a line, 32 KiB of header, 4 MiB of body
+	Idle   int         // connections kept; 0: 256
+	TLS    *tls.Config // nil: connections are plain
 
 	mu   sync.Mutex
 	idle map[string]*called
@@ -45,7 +47,13 @@
 		}
 	}
 	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", address)
+	var nc net.Conn
+	var err error
+	if c.TLS != nil {
+		nc, err = (&tls.Dialer{NetDialer: &d, Config: c.TLS}).DialContext(ctx, "tcp", address)
+	} else {
+		nc, err = d.DialContext(ctx, "tcp", address)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -33,6 +33,7 @@
 	Header  textproto.MIMEHeader
 	Body    []byte
 	Remote  string
+	Peer    Peer              // who sent it; nil on a plain connection
 	Params  map[string]string // of the route's path
 	conn    *conn
 	expects bool
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -22,9 +23,25 @@
 	Idle   time.Duration // between requests: 2 min
 	Write  time.Duration // for a reply: 10 s
 	Conns  int           // open at once: 20,000
+	Secure *Secure       // nil: connections are plain
 	Now    func() time.Time
 }
 
+// Secure has connections prove who they are before anything is read.
+type Secure struct {
+	TLS       *tls.Config
+	Peer      func(tls.ConnectionState) (Peer, error) // judges a connection whose handshake is done
+	AtOnce    int                                     // handshakes: 32
+	Handshake time.Duration                           // for a handshake, waiting for its turn aside: 5 s
+}
+
+// Peer is who stands at the other end. Each request is judged, not each connection: Still is asked before a request is
+// served and before a held reply is written, and an error ends the connection.
+type Peer interface {
+	Still() error
+	Ends() time.Time
+}
+
 func (c Config) filled() Config {
 	set := func(d *time.Duration, to time.Duration) {
 		if *d == 0 {
@@ -50,6 +67,14 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Secure != nil {
+		s := *c.Secure
+		set(&s.Handshake, 5*time.Second)
+		if s.AtOnce == 0 {
+			s.AtOnce = 32
+		}
+		c.Secure = &s
+	}
 	return c
 }
 
@@ -64,11 +89,15 @@
 	done    sync.WaitGroup
 
 	readers, writers sync.Pool
+	handshakes       chan struct{} // held by those that go on
 }
 
 // NewServer makes a server of a mux.
 func NewServer(m *Mux, c Config) *Server {
 	s := &Server{config: c.filled(), mux: m, conns: map[*conn]bool{}}
+	if x := s.config.Secure; x != nil {
+		s.handshakes = make(chan struct{}, x.AtOnce)
+	}
 	s.readers.New = func() any { return newReader(nil) }
 	s.writers.New = func() any { return bufio.NewWriterSize(nil, 4096) }
 	return s
@@ -115,6 +144,10 @@
 }
 
 func (s *Server) turnAway(c *conn) {
+	if s.config.Secure != nil { // it would take a handshake to say so
+		c.net.Close()
+		return
+	}
 	r := Problem{Status: 503, Detail: "too many connections"}.Reply("Retry-After", "1")
 	r.Close = true
 	c.write(nil, r)
@@ -171,8 +204,50 @@
 	server *Server
 	reader *reader // nil while nothing is buffered
 	writer *bufio.Writer
+	peer   Peer      // nil: plain
+	retire time.Time // from then on each reply ends the connection, so that the next request comes by a newer identity
+}
+
+// lastPart of a connection's time is left for that.
+const lastPart = 0.1
+
+// secure does the handshake of a connection, when its turn has come: so many at once, that those who hold polls are not
+// kept from their processor when all come back together.
+func (c *conn) secure() error {
+	x := c.server.config.Secure
+	c.server.handshakes <- struct{}{}
+	defer func() { <-c.server.handshakes }()
+	if c.server.isClosing() {
+		return net.ErrClosed
+	}
+	t := tls.Server(c.net, x.TLS)
+	ctx, cancel := context.WithTimeout(context.Background(), x.Handshake)
+	defer cancel()
+	if err := t.HandshakeContext(ctx); err != nil {
+		return err
+	}
+	peer, err := x.Peer(t.ConnectionState())
+	if err != nil {
+		return err
+	}
+	c.server.mu.Lock()
+	c.net, c.peer = t, peer
+	c.retire = peer.Ends().Add(-time.Duration(lastPart * float64(time.Until(peer.Ends()))))
+	c.server.mu.Unlock()
+	return nil
+}
+
+// Retires is when the connection that a request came by wants to end, and whether it does.
+func (q *Request) Retires() (at time.Time, ok bool) {
+	if q.conn == nil || q.conn.peer == nil {
+		return time.Time{}, false
+	}
+	return q.conn.retire, true
 }
 
+// still tells whether the peer is still to be served.
+func (c *conn) still() bool { return c.peer == nil || c.peer.Still() == nil }
+
 // Read gives the connection's bytes to the reader.
 func (c *conn) Read(p []byte) (int, error) { return c.net.Read(p) }
 
@@ -186,10 +261,15 @@
 		s.mu.Unlock()
 		s.done.Done()
 	}()
+	if c.server.config.Secure != nil {
+		if c.secure() != nil {
+			return
+		}
+	}
 	first := [1]byte{}
 	for {
 		if c.reader == nil {
-			c.deadline(c.server.config.Idle)
+			c.deadline(c.idle())
 			if c.server.isClosing() {
 				return
 			}
@@ -223,6 +303,15 @@
 	}
 }
 
+// idle is how long the connection may wait for a request: not past the end of its identity.
+func (c *conn) idle() time.Duration {
+	idle := c.server.config.Idle
+	if c.peer != nil {
+		idle = min(idle, time.Until(c.retire))
+	}
+	return idle
+}
+
 func (c *conn) deadline(d time.Duration) { c.net.SetReadDeadline(time.Now().Add(d)) }
 
 // request serves one request. It tells whether the connection can go on.
@@ -234,7 +323,12 @@
 		c.complain(err)
 		return false
 	}
-	q.conn, q.Remote = c, c.net.RemoteAddr().String()
+	q.conn, q.Remote, q.Peer = c, c.net.RemoteAddr().String(), c.peer
+	if !c.still() {
+		r := Problem{Status: 401, Detail: "the identity is over, or no longer trusted"}.Reply()
+		r.Close = true
+		return c.refuse(q, r)
+	}
 	route, refusal := c.server.mux.find(q)
 	if refusal != nil {
 		return c.refuse(q, *refusal)
@@ -272,7 +366,11 @@
 		if r, err = c.await(r.Held); err != nil {
 			return false
 		}
+		if !c.still() { // what is held is not told past the end of an identity: it is asked for again
+			return false
+		}
 	}
+	r.Close = r.Close || c.peer != nil && !time.Now().Before(c.retire)
 	return c.write(q, r) == nil && !q.close && !r.Close && !c.server.isClosing()
 }
 
--- /dev/null
+++ b/internal/identity/identity.go
@@ -0,0 +1,137 @@
+// Package identity proves who this program is and judges who others are, by SPIFFE X.509-SVIDs from the Workload API
+// (SPIFFE Workload API; X.509-SVID, sections 3 to 5; SPIFFE-ID, section 2). Both sides of a connection prove themselves by
+// TLS 1.3. A connection is judged again for each request while the roots change, and never outlives either identity.
+package identity
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/spiffe/go-spiffe/v2/bundle/x509bundle"
+	"github.com/spiffe/go-spiffe/v2/spiffeid"
+	"github.com/spiffe/go-spiffe/v2/spiffetls/tlsconfig"
+	"github.com/spiffe/go-spiffe/v2/svid/x509svid"
+	"github.com/spiffe/go-spiffe/v2/workloadapi"
+)
+
+// Source is where this program's identity and the roots of others come from. It keeps the last good ones while the Workload
+// API is away.
+type Source struct {
+	x      *workloadapi.X509Source
+	rounds atomic.Int64 // counts the updates
+	now    func() time.Time
+}
+
+// Open waits for the first identity from the Workload API at an address such as unix:///run/issuer.sock.
+func Open(ctx context.Context, address string) (*Source, error) {
+	x, err := workloadapi.NewX509Source(ctx, workloadapi.WithClientOptions(workloadapi.WithAddr(address)))
+	if err != nil {
+		return nil, fmt.Errorf("waiting for an identity from %s: %w", address, err)
+	}
+	s := &Source{x: x, now: time.Now}
+	s.rounds.Store(1)
+	return s, nil
+}
+
+// Follow counts updates until the context ends, and calls changed after each.
+func (s *Source) Follow(ctx context.Context, changed func()) {
+	for {
+		select {
+		case <-s.x.Updated():
+			s.rounds.Add(1)
+			changed()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Close gives the source up.
+func (s *Source) Close() error { return s.x.Close() }
+
+// Own is this program's identity, and when it ends.
+func (s *Source) Own() (spiffeid.ID, time.Time, error) {
+	v, err := s.x.GetX509SVID()
+	if err != nil {
+		return spiffeid.ID{}, time.Time{}, fmt.Errorf("reading the own identity: %w", err)
+	}
+	return v.ID, v.Certificates[0].NotAfter, nil
+}
+
+// Server gives the settings of the side that listens. Whom a request is from, Peer tells.
+func (s *Source) Server() *tls.Config {
+	return strict(tlsconfig.MTLSServerConfig(s.x, s.x, tlsconfig.AuthorizeAny()))
+}
+
+// Client gives the settings of the side that dials, for a server that has to be one of those expected.
+func (s *Source) Client(expect func(spiffeid.ID) error) *tls.Config {
+	return strict(tlsconfig.MTLSClientConfig(s.x, s.x, func(id spiffeid.ID, _ [][]*x509.Certificate) error { return expect(id) }))
+}
+
+// strict allows TLS 1.3 only, and no resumption: a session resumed would prove what was so, not what is.
+func strict(c *tls.Config) *tls.Config {
+	c.MinVersion = tls.VersionTLS13
+	c.SessionTicketsDisabled = true
+	return c
+}
+
+// Peer is who stands at the other end of a connection.
+type Peer struct {
+	ID     spiffeid.ID
+	Until  time.Time // the earlier end of its identity and, for a proof of ours, of our own
+	certs  []*x509.Certificate
+	rounds int64 // of the source, when it was last judged
+	source *Source
+}
+
+// ErrEnded says that an identity is over.
+var ErrEnded = errors.New("the identity is over")
+
+// Peer judges the other end of a connection whose handshake is done.
+func (s *Source) Peer(state tls.ConnectionState) (*Peer, error) {
+	p := &Peer{certs: state.PeerCertificates, source: s}
+	if err := p.judge(); err != nil {
+		return nil, err
+	}
+	p.Until = p.certs[0].NotAfter
+	if _, own, err := s.Own(); err == nil && own.Before(p.Until) {
+		p.Until = own
+	}
+	return p, nil
+}
+
+// judge verifies the chain by the roots as they stand.
+func (p *Peer) judge() error {
+	rounds := p.source.rounds.Load()
+	id, _, err := x509svid.Verify(p.certs, p.source.x, x509svid.WithTime(p.source.now()))
+	if err != nil {
+		return fmt.Errorf("judging the peer: %w", err)
+	}
+	p.ID, p.rounds = id, rounds
+	return nil
+}
+
+// Still tells whether the peer is still who it was: its identity is not over, nor its root taken away. It is cheap while
+// neither the roots nor our identity changed.
+func (p *Peer) Still() error {
+	if !p.source.now().Before(p.Until) {
+		return ErrEnded
+	}
+	if p.rounds != p.source.rounds.Load() {
+		return p.judge()
+	}
+	return nil
+}
+
+// Ends is when the connection has to end.
+func (p *Peer) Ends() time.Time { return p.Until }
+
+// Bundle tells the roots of a trust domain as they stand, for status.
+func (s *Source) Bundle(domain spiffeid.TrustDomain) (*x509bundle.Bundle, error) {
+	return s.x.GetX509BundleForTrustDomain(domain)
+}
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -141,6 +141,9 @@
 			}
 		}
 	}
+	if c.Identity == nil { // stand-ins on this machine alone
+		c.Identity = &configpb.Identity{PlainLoopback: true}
+	}
 	c.Listen, c.Record, c.Fleet.Stewards = "127.0.0.1:0", "", &s.Stewards
 	proxies := int32(0)
 	for _, g := range s.Forwarders {
--- a/steward/operate.go
+++ b/steward/operate.go
@@ -248,6 +248,14 @@
 	return all
 }
 
+// ZoneOf is the zone of a proxy that has joined, empty where it has not.
+func (s *Steward) ZoneOf(proxy string) string {
+	if m := s.members.byName[proxy]; m != nil {
+		return s.fleet.Zones[m.zone]
+	}
+	return ""
+}
+
 // IsListed tells whether a host is on the list, with what operators set laid over it.
 func (s *Steward) IsListed(host string) bool { _, ok := s.list.entries[host]; return ok }
 
