Signed tables: a detached JWS over the canonical form, refused by the client where it does not fit

A table that came by a cache or out of a recording proved nothing. With identities each answer carries a detached JWS (RFC 7515, go-jose) over the RFC 8785 form of proxy, tag, end and tables, with the steward's chain; client.Options.Signed takes only tables of one's own steward, none older than the last. Signed by the connection's own goroutine, so answers go out side by side.

--- a/client/client.go
+++ b/client/client.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/x509"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
@@ -67,7 +68,8 @@
 	Rate     float64  // transactions a second that it usually gets; 0: not told
 	Standing []string // hosts to go by until tables come
 
-	Offer bool // a steward that is new to it is told what it holds, so that it can go on from there with deltas
+	Offer  bool                                  // a steward that is new to it is told what it holds, so that it can go on from there with deltas
+	Signed func(chain []*x509.Certificate) error // not nil: only tables signed by one whom it accepts are taken, none older than the last
 
 	HTTP   *http.Client  // nil: one of its own
 	Wait   time.Duration // polls ask to be held so long: 30 s
@@ -99,7 +101,8 @@
 
 	mu      sync.Mutex
 	held    held
-	steward int // index of the one that is polled
+	newest  string // tag of what was taken last
+	steward int    // index of the one that is polled
 	joined  bool
 	counter uint64
 	repeats map[string]bool
@@ -190,7 +193,7 @@
 func (c *Client) Load(tag string, doc []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.held.whole("", tag, doc)
+	return c.held.whole("", tag, doc, func([]byte) error { return nil })
 }
 
 // Steward is the base URL of the steward whose poll was last answered, empty while none answers.
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -23,17 +23,17 @@
 	say := func(what string, err error) {
 		fmt.Fprintf(&now, "%s: %v; held %s, sheet %v, finish %v\n", what, err, h.tag, h.tables["sheet"], h.tables["finish"])
 	}
-	say("a delta first", h.delta("s", `"1"`, `"2"`, []byte(`{"tables":{}}`)))
-	say("the whole", h.whole("s", `"1"`, []byte(doc)))
-	say("a delta", h.delta("s", `"1"`, `"2"`, []byte(`{"tables":{"sheet":{"hosts":{"b:1":null,"c:1":2}},"finish":{"tries":1}}}`)))
-	say("late, onto an older base", h.delta("s", `"1"`, `"3"`, []byte(`{"tables":{"sheet":{"hosts":{"a:1":null}}}}`)))
-	say("of another steward", h.delta("u", `"2"`, `"3"`, []byte(`{"tables":{"sheet":{"hosts":{"a:1":null}}}}`)))
-	say("no JSON", h.delta("s", `"2"`, `"3"`, []byte(`{"tables":`)))
-	say("a weight below 0", h.delta("s", `"2"`, `"3"`, []byte(`{"tables":{"sheet":{"hosts":{"a:1":-1}}}}`)))
-	say("a way of trying that is none", h.whole("s", `"4"`, []byte(`{"tables":{"sheet":{"tries":7}}}`)))
-	say("no tables", h.whole("s", `"4"`, []byte(`{"proxy":"p"}`)))
-	say("a new steward that has ordered nothing yet", h.whole("u", `"9"`, []byte(`{"tables":{"sheet":{"share":1,"tries":1}}}`)))
-	say("a host with no host", h.whole("u", `"10"`, []byte(`{"tables":{"sheet":{"hosts":{}}}}`)))
+	say("a delta first", h.delta("s", `"1"`, `"2"`, []byte(`{"tables":{}}`), unchecked))
+	say("the whole", h.whole("s", `"1"`, []byte(doc), unchecked))
+	say("a delta", h.delta("s", `"1"`, `"2"`, []byte(`{"tables":{"sheet":{"hosts":{"b:1":null,"c:1":2}},"finish":{"tries":1}}}`), unchecked))
+	say("late, onto an older base", h.delta("s", `"1"`, `"3"`, []byte(`{"tables":{"sheet":{"hosts":{"a:1":null}}}}`), unchecked))
+	say("of another steward", h.delta("u", `"2"`, `"3"`, []byte(`{"tables":{"sheet":{"hosts":{"a:1":null}}}}`), unchecked))
+	say("no JSON", h.delta("s", `"2"`, `"3"`, []byte(`{"tables":`), unchecked))
+	say("a weight below 0", h.delta("s", `"2"`, `"3"`, []byte(`{"tables":{"sheet":{"hosts":{"a:1":-1}}}}`), unchecked))
+	say("a way of trying that is none", h.whole("s", `"4"`, []byte(`{"tables":{"sheet":{"tries":7}}}`), unchecked))
+	say("no tables", h.whole("s", `"4"`, []byte(`{"proxy":"p"}`), unchecked))
+	say("a new steward that has ordered nothing yet", h.whole("u", `"9"`, []byte(`{"tables":{"sheet":{"share":1,"tries":1}}}`), unchecked))
+	say("a host with no host", h.whole("u", `"10"`, []byte(`{"tables":{"sheet":{"hosts":{}}}}`), unchecked))
 	want := `a delta first: a delta onto "1" came, held is ; held , sheet {[] false 0 0}, finish {[] false 0 0}
 the whole: <nil>; held "1", sheet {[{a:1 1} {b:1 3}] true 1 1}, finish {[{a:1 1}] true 0.5 0}
 a delta: <nil>; held "2", sheet {[{a:1 1} {c:1 2}] true 1 1}, finish {[{a:1 1}] true 0.5 1}
@@ -60,7 +60,7 @@
 	}
 	c.seed = 5
 	if body != "" {
-		if err := c.held.whole("s", "1", []byte(body)); err != nil {
+		if err := c.held.whole("s", "1", []byte(body), unchecked); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -160,3 +160,5 @@
 		t.Errorf("counted again: %v %v", hosts, usage)
 	}
 }
+
+func unchecked([]byte) error { return nil }
--- a/client/run.go
+++ b/client/run.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"barleysail/internal/tablesig"
 )
 
 // mostBytes bounds an answer.
@@ -114,9 +116,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	check := c.check(r.Header.Get("ETag"), r.Header.Get(tablesig.Field))
 	switch r.StatusCode {
 	case http.StatusOK:
-		err = c.held.whole(steward, r.Header.Get("ETag"), body)
+		err = c.held.whole(steward, r.Header.Get("ETag"), body, check)
 	case http.StatusIMUsed:
 		if im := r.Header.Get("IM"); !strings.EqualFold(im, "merge-patch") {
 			err = fmt.Errorf("the manipulation %q is not known", im)
@@ -124,7 +127,7 @@
 			if offer != nil {
 				c.held.steward = steward // it goes on from what was offered, or the base does not fit
 			}
-			err = c.held.delta(steward, r.Header.Get("Delta-Base"), r.Header.Get("ETag"), body)
+			err = c.held.delta(steward, r.Header.Get("Delta-Base"), r.Header.Get("ETag"), body, check)
 		}
 	case http.StatusNotModified:
 		if offer != nil {
@@ -137,6 +140,7 @@
 		c.held.tag = "" // ask for the whole
 		return err
 	}
+	c.newest = strings.Trim(c.held.tag, `"`)
 	if c.o.Applied != nil && c.held.tag != tag {
 		c.o.Applied(strings.Trim(c.held.tag, `"`))
 	}
@@ -147,6 +151,20 @@
 	return nil
 }
 
+// check refuses tables that are not signed by one's own steward, or older than what was taken before.
+func (c *Client) check(tag, field string) func(doc []byte) error {
+	return func(doc []byte) error {
+		if c.o.Signed == nil {
+			return nil
+		}
+		tag := strings.Trim(tag, `"`)
+		if newer, same := tablesig.Newer(tag, c.newest); same && !newer && tag != c.newest {
+			return fmt.Errorf("the table %s is older than %s", tag, c.newest)
+		}
+		return tablesig.Check(field, c.o.Proxy, tag, doc, c.o.Now(), c.o.Signed)
+	}
+}
+
 // offer is what is held, for a steward that did not give it; nil where there is nothing to offer. The caller holds the lock.
 func (c *Client) offer(steward string) ([]byte, error) {
 	if !c.o.Offer || c.held.doc == nil || c.held.tag == "" || c.held.steward == steward {
--- a/client/tables.go
+++ b/client/tables.go
@@ -41,7 +41,10 @@
 }
 
 // whole takes a whole document in. On an error nothing changes.
-func (h *held) whole(steward, tag string, body []byte) error {
+func (h *held) whole(steward, tag string, body []byte, check func(doc []byte) error) error {
+	if err := check(body); err != nil {
+		return err
+	}
 	tables, err := h.read(body)
 	if err != nil {
 		return err
@@ -52,7 +55,7 @@
 
 // delta takes a merge patch in, if it is for the document that is held: one that arrives after a newer one is
 // not. On an error nothing changes.
-func (h *held) delta(steward, base, tag string, patch []byte) error {
+func (h *held) delta(steward, base, tag string, patch []byte, check func(doc []byte) error) error {
 	if h.doc == nil || steward != h.steward || base != h.tag {
 		return fmt.Errorf("a delta onto %s came, held is %s", base, h.tag)
 	}
@@ -60,6 +63,9 @@
 	if err != nil {
 		return fmt.Errorf("applying a delta: %w", err)
 	}
+	if err := check(doc); err != nil {
+		return err
+	}
 	tables, err := h.read(doc)
 	if err != nil {
 		return err
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -99,7 +99,9 @@
 	ask.Wait = holdFor(q, ask.Wait)
 	id := int64(0)
 	held := q.Hold(func() { a.core.pollGone(ask.Proxy, id) })
-	id, err := a.core.poll(ask, func(s steward.Answer) { held.Answer(reply(s, seconds, preferred)) })
+	id, err := a.core.poll(ask, func(s steward.Answer) {
+		held.Answer(http1.Reply{Make: func() http1.Reply { return a.signed(s, reply(s, seconds, preferred)) }})
+	})
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/daemon/identify.go
+++ b/internal/daemon/identify.go
@@ -16,6 +16,7 @@
 	"barleysail/internal/config/configpb"
 	"barleysail/internal/http1"
 	"barleysail/internal/identity"
+	"barleysail/internal/tablesig"
 	"barleysail/steward"
 )
 
@@ -98,6 +99,30 @@
 	return wanted
 }
 
+// signedFor is how long a proxy may take a table up after it was told: not how long it may go by it.
+const signedFor = 5 * time.Minute
+
+// signed adds the signature of what an answer leaves the proxy with.
+func (a *api) signed(s steward.Answer, r http1.Reply) http1.Reply {
+	if a.source == nil || s.Kind == steward.Same {
+		return r
+	}
+	signer, err := a.source.Signer()
+	if err != nil {
+		return fail(err)
+	}
+	tables, err := s.Canonical()
+	if err != nil {
+		return fail(err)
+	}
+	field, err := signer.Sign(s.Proxy, s.Tag, tables, time.Now().Add(signedFor))
+	if err != nil {
+		return fail(err)
+	}
+	r.Header.Set(tablesig.Field, field)
+	return r
+}
+
 // IdentityReport is how the steward's own identity stands.
 type IdentityReport struct {
 	ID     string  `json:"id"`
--- a/internal/daemon/identity_test.go
+++ b/internal/daemon/identity_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"os"
@@ -19,6 +20,7 @@
 	"barleysail/internal/config"
 	"barleysail/internal/identity"
 	"barleysail/internal/standin/issuer"
+	"barleysail/internal/tablesig"
 )
 
 const domain = "spiffe://race.example"
@@ -349,3 +351,119 @@
 	cancel()
 	<-ended
 }
+
+// A client that wants signed tables takes those of its own steward, wholes and deltas, and neither an unsigned one, nor one
+// of another steward of the same domain, nor an old one that comes again out of a cache.
+func TestSignedTables(t *testing.T) {
+	w := withIdentities(t, "")
+	e := w.endpoint(t, "f1")
+	e.Give(w.sign(t, w.root, domain+"/forwarder/a/f1", time.Hour, nil), []*issuer.Authority{w.root})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	source, err := identity.Open(ctx, e.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer source.Close()
+	is := func(want string) func(spiffeid.ID) error {
+		return func(id spiffeid.ID) error {
+			if id.String() != domain+want {
+				return fmt.Errorf("it is %s", id)
+			}
+			return nil
+		}
+	}
+	x := &http.Transport{TLSClientConfig: source.Client(is("/steward/one"))}
+	defer x.CloseIdleConnections()
+	// between the client and the steward stands a cache that can answer out of what it saw
+	cache := &replayer{next: x}
+	run := func(signed func([]*x509.Certificate) error) (weight func() float64, refused *atomic.Int64, stop func()) {
+		refused = &atomic.Int64{}
+		c, err := client.New(client.Options{Stewards: []string{w.url}, Proxy: "f1", Zone: "a", HTTP: &http.Client{Transport: cache}, Wait: time.Second,
+			Least: 5 * time.Millisecond, Most: 20 * time.Millisecond, Signed: signed, Log: func(text string) {
+				if strings.Contains(text, "older") || strings.Contains(text, "judging") || strings.Contains(text, "not signed") {
+					refused.Add(1)
+				}
+			}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { c.Run(ctx); close(ended) }()
+		return func() float64 {
+			for _, h := range c.Tables()["sheet"].Hosts {
+				if h.Address == "10.0.0.2:80" {
+					return h.Weight
+				}
+			}
+			return 0
+		}, refused, func() { cancel(); <-ended }
+	}
+	list := func(weight float64) {
+		w.hosts(fmt.Sprintf(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "b" weight: %g }`, weight))
+	}
+	weight, refused, stop := run(source.Signed(is("/steward/one")))
+	until(t, "the tables", func() bool { return weight() == 0.5 })
+	list(0.7)
+	until(t, "a delta", func() bool { return weight() == 0.7 })
+	cache.again.Store(true) // the first whole, again and again
+	until(t, "the old table to be refused", func() bool { return refused.Load() > 0 })
+	if weight() != 0.7 {
+		t.Errorf("the old table was taken: %g", weight())
+	}
+	cache.again.Store(false)
+	list(0.8)
+	until(t, "what is newer", func() bool { return weight() == 0.8 })
+	cache.strip.Store(true)
+	refused.Store(0)
+	list(0.9)
+	until(t, "an unsigned one to be refused", func() bool { return refused.Load() > 0 })
+	if weight() != 0.8 {
+		t.Errorf("an unsigned table was taken: %g", weight())
+	}
+	stop()
+	cache.strip.Store(false)
+	weight, refused, stop = run(source.Signed(is("/steward/two")))
+	until(t, "another's to be refused", func() bool { return refused.Load() > 0 })
+	if weight() != 0 {
+		t.Error("a table of another steward was taken")
+	}
+	stop()
+}
+
+// replayer passes requests on, and may answer with the first whole table that it saw, or take signatures off.
+type replayer struct {
+	next         http.RoundTripper
+	first        atomic.Pointer[cached]
+	again, strip atomic.Bool
+}
+
+type cached struct {
+	header http.Header
+	body   string
+}
+
+func (r *replayer) RoundTrip(q *http.Request) (*http.Response, error) {
+	tables := strings.HasSuffix(q.URL.Path, "/tables")
+	if c := r.first.Load(); tables && c != nil && r.again.Load() {
+		return &http.Response{StatusCode: 200, Status: "200 OK", Header: c.header.Clone(), Body: io.NopCloser(strings.NewReader(c.body)), Request: q}, nil
+	}
+	a, err := r.next.RoundTrip(q)
+	if err != nil || !tables {
+		return a, err
+	}
+	body, err := io.ReadAll(a.Body)
+	a.Body.Close()
+	if err != nil {
+		return nil, err
+	}
+	a.Body = io.NopCloser(strings.NewReader(string(body)))
+	if a.StatusCode == 200 && strings.Contains(string(body), "10.0.0.2:80") {
+		r.first.CompareAndSwap(nil, &cached{a.Header.Clone(), string(body)})
+	}
+	if r.strip.Load() {
+		a.Header.Del(tablesig.Field)
+	}
+	return a, nil
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -46,8 +46,9 @@
 	Status int
 	Header textproto.MIMEHeader
 	Body   []byte
-	Held   *Held // in place of all else: the reply comes later
-	Close  bool  // end the connection after it
+	Held   *Held        // in place of all else: the reply comes later
+	Close  bool         // end the connection after it
+	Make   func() Reply // in place of all else: called by the connection's own goroutine before it is written
 }
 
 // Header makes a header from names and values in turn.
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -370,6 +370,9 @@
 			return false
 		}
 	}
+	if r.Make != nil {
+		r = r.Make()
+	}
 	r.Close = r.Close || c.peer != nil && !time.Now().Before(c.retire)
 	return c.write(q, r) == nil && !q.close && !r.Close && !c.server.isClosing()
 }
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,8 @@
 	"github.com/spiffe/go-spiffe/v2/spiffetls/tlsconfig"
 	"github.com/spiffe/go-spiffe/v2/svid/x509svid"
 	"github.com/spiffe/go-spiffe/v2/workloadapi"
+
+	"barleysail/internal/tablesig"
 )
 
 // Source is where this program's identity and the roots of others come from. It keeps the last good ones while the Workload
@@ -25,6 +28,10 @@
 	x      *workloadapi.X509Source
 	rounds atomic.Int64 // counts the updates
 	now    func() time.Time
+
+	mu     sync.Mutex
+	signer *tablesig.Signer
+	signed int64 // the round that it is of
 }
 
 // Open waits for the first identity from the Workload API at an address such as unix:///run/issuer.sock.
@@ -63,6 +70,36 @@
 	return v.ID, v.Certificates[0].NotAfter, nil
 }
 
+// Signer gives a signer of tables by our identity as it is now.
+func (s *Source) Signer() (*tablesig.Signer, error) {
+	rounds := s.rounds.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.signer != nil && s.signed == rounds {
+		return s.signer, nil
+	}
+	v, err := s.x.GetX509SVID()
+	if err != nil {
+		return nil, fmt.Errorf("reading the own identity: %w", err)
+	}
+	if s.signer, err = tablesig.NewSigner(v.PrivateKey, v.Certificates); err != nil {
+		return nil, err
+	}
+	s.signed = rounds
+	return s.signer, nil
+}
+
+// Signed judges the chain of a table's signature: it has to be by a root of ours, and of one whom expect accepts.
+func (s *Source) Signed(expect func(spiffeid.ID) error) func([]*x509.Certificate) error {
+	return func(chain []*x509.Certificate) error {
+		id, _, err := x509svid.Verify(chain, s.x, x509svid.WithTime(s.now()))
+		if err != nil {
+			return err
+		}
+		return expect(id)
+	}
+}
+
 // Server gives the settings of the side that listens. Whom a request is from, Peer tells.
 func (s *Source) Server() *tls.Config {
 	return strict(tlsconfig.MTLSServerConfig(s.x, s.x, tlsconfig.AuthorizeAny()))
--- a/steward/view.go
+++ b/steward/view.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strconv"
 	"sync"
 
+	"github.com/gowebpki/jcs"
+
 	"barleysail/state/statepb"
 )
 
@@ -17,9 +20,10 @@
 	once    sync.Once
 	whole   []byte
 
-	mu     sync.Mutex
-	deltas map[int64][]byte // by base; not by pointer, which would keep every view there ever was
-	kept   *statepb.Table   // as it is kept for another life
+	mu        sync.Mutex
+	deltas    map[int64][]byte // by base; not by pointer, which would keep every view there ever was
+	kept      *statepb.Table   // as it is kept for another life
+	canonical []byte
 }
 
 type classView struct {
@@ -91,6 +95,23 @@
 	return append(append(body, tables...), "}\n"...)
 }
 
+// Canonical gives the tables that the proxy holds once it has taken the answer in, in the canonical form of RFC 8785, for
+// signatures. It may be called from any goroutine, and is made once for all proxies with the same tables.
+func (a Answer) Canonical() ([]byte, error) {
+	v := a.view
+	whole := v.document()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.canonical == nil {
+		text, err := jcs.Transform(whole)
+		if err != nil {
+			return nil, fmt.Errorf("writing tables in their canonical form: %w", err)
+		}
+		v.canonical = text
+	}
+	return v.canonical, nil
+}
+
 func (v *View) document() []byte {
 	v.once.Do(func() { v.whole = v.encode(nil) })
 	return v.whole
