--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"sort"
 	"strings"
@@ -14,20 +17,30 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/spiffe/go-spiffe/v2/spiffeid"
 
 	"barleysail/decide"
 	"barleysail/internal/config"
+	"barleysail/internal/identity"
+	"barleysail/internal/standin/issuer"
 	"barleysail/steward"
 )
 
 // running starts a daemon for a benchmark, its list given by hand.
-func running(b *testing.B, hosts int) (*Daemon, []steward.Entry) {
+func running(b *testing.B, hosts int) (*Daemon, []steward.Entry) { return runningAs(b, hosts, "") }
+
+// runningAs is the same with identities.
+func runningAs(b *testing.B, hosts int, identities string) (*Daemon, []steward.Entry) {
 	b.Helper()
 	var list []steward.Entry
 	for i := range hosts {
 		list = append(list, steward.Entry{Host: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: "a", Phase: decide.Ready, Weight: 1})
 	}
-	cfg, err := config.Parse("bench", []byte(strings.ReplaceAll(strings.Replace(base, "channel {", "channel { messages_most: 0 ", 1), "1000000", "1000000000")+`list { url: "http://127.0.0.1:1/" } fleet { proxies: 5000 }
+	text := base
+	if identities != "" {
+		text = strings.Replace(base, "plain_loopback: true", identities, 1)
+	}
+	cfg, err := config.Parse("bench", []byte(strings.ReplaceAll(strings.Replace(text, "channel {", "channel { messages_most: 0 ", 1), "1000000", "1000000000")+`list { url: "http://127.0.0.1:1/" } fleet { proxies: 5000 }
 		polls { leave_after_ms: 60000 }`))
 	if err != nil {
 		b.Fatal(err)
@@ -66,13 +79,19 @@
 	return r.StatusCode, int(n), err
 }
 
-func pollers(b *testing.B, d *Daemon, n int) []*poller {
+func pollers(b *testing.B, d *Daemon, n int) []*poller { return pollersBy(b, d, n, nil) }
+
+// pollersBy are pollers that prove who they are; nil: plain.
+func pollersBy(b *testing.B, d *Daemon, n int, secure *tls.Config) []*poller {
 	var all []*poller
 	for i := range n {
 		c, err := net.Dial("tcp", d.Addr())
 		if err != nil {
 			b.Fatal(err)
 		}
+		if secure != nil {
+			c = tls.Client(c, secure)
+		}
 		b.Cleanup(func() { c.Close() })
 		all = append(all, &poller{c: c, in: bufio.NewReaderSize(c, 512), name: i})
 	}
@@ -95,10 +114,19 @@
 
 // BenchmarkDelivery measures the time from a changed list to the delta at each of the proxies that hold a poll.
 func BenchmarkDelivery(b *testing.B) {
-	for _, n := range []int{1000, 5000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			d, list := running(b, 400)
-			all := pollers(b, d, n)
+	for _, n := range []int{1000, 5000, -1000, -5000} { // below 0: with identities and signed tables
+		secure, identities := (*tls.Config)(nil), ""
+		if n < 0 {
+			n, secure, identities = -n, nil, "x"
+		}
+		b.Run(fmt.Sprintf("%d%s", n, map[bool]string{true: "-signed"}[identities != ""]), func(b *testing.B) {
+			if identities != "" {
+				secure, identities = provers(b)
+			}
+			d, list := runningAs(b, 400, identities)
+			began := time.Now()
+			all := pollersBy(b, d, n, secure)
+			b.ReportMetric(float64(n)/time.Since(began).Seconds(), "joins/s")
 			var took []float64
 			for i := range b.N {
 				for _, p := range all {
@@ -133,6 +161,39 @@
 	}
 }
 
+// provers gives what pollers need to prove who they are, and the configuration that lets them.
+func provers(b *testing.B) (*tls.Config, string) {
+	root, err := issuer.NewAuthority("race.example")
+	if err != nil {
+		b.Fatal(err)
+	}
+	folder, err := os.MkdirTemp("", "id")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { os.RemoveAll(folder) })
+	give := func(name, id string) *issuer.Endpoint {
+		e, err := issuer.NewEndpoint(folder, name)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(e.Close)
+		v, err := root.Sign(domain+id, time.Hour, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		e.Give(v, []*issuer.Authority{root})
+		return e
+	}
+	own, proxy := give("steward", "/steward/one"), give("proxy", "/forwarder/any")
+	s, err := identity.Open(context.Background(), proxy.Address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { s.Close() })
+	return s.Client(func(spiffeid.ID) error { return nil }), fmt.Sprintf(`workload_api: %q allow { id: "%s/forwarder/*" actions: "poll" }`, own.Address, domain)
+}
+
 // BenchmarkHeldPoll measures what a held poll costs in memory.
 func BenchmarkHeldPoll(b *testing.B) {
 	for range b.N {
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// Certificate is our identity for a TLS connection, with its key.
+func (s *Source) Certificate() (*tls.Certificate, error) {
+	v, err := s.x.GetX509SVID()
+	if err != nil {
+		return nil, fmt.Errorf("reading the own identity: %w", err)
+	}
+	c := &tls.Certificate{PrivateKey: v.PrivateKey}
+	for _, x := range v.Certificates {
+		c.Certificate = append(c.Certificate, x.Raw)
+	}
+	return c, nil
+}
+
 // Server gives the settings of the side that listens. Whom a request is from, Peer tells.
 func (s *Source) Server() *tls.Config {
 	return strict(tlsconfig.MTLSServerConfig(s.x, s.x, tlsconfig.AuthorizeAny()))
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -48,10 +48,12 @@
 	journal    *rules.Journal
 	service    *service
 
-	gaps    gaps
-	taken   taken
-	kills   []kill
-	program string // that stewards are started with; empty: they run in this process
+	gaps       gaps
+	taken      taken
+	kills      []kill
+	identities *identities // nil: all is plain
+	rogue      string      // address of an impostor steward; empty: none
+	program    string      // that stewards are started with; empty: they run in this process
 
 	mu         sync.Mutex
 	hosts      []*member
@@ -210,6 +212,9 @@
 	for _, k := range d.config.Classes {
 		d.service.class(k.Name, *k.Earnings, *k.DueMs)
 	}
+	if err := d.identify(); err != nil {
+		return fmt.Errorf("giving out identities: %w", err)
+	}
 	if err := d.forward(daypb.Front_SOCKET); err != nil {
 		return err
 	}
@@ -220,6 +225,12 @@
 		}
 		d.stewards, d.addresses = append(d.stewards, s), append(d.addresses, s.Addr())
 	}
+	if d.identities != nil {
+		var err error
+		if d.rogue, err = d.rogueSteward(); err != nil {
+			return err
+		}
+	}
 	return d.forward(daypb.Front_POLLS)
 }
 
@@ -238,7 +249,10 @@
 		c.State.Folder = filepath.Join(d.dir, fmt.Sprintf("state-%d", i))
 	}
 	if last := int(d.script.Stewards) - 1; d.script.Standby && i == last {
-		c.Standby.Of = "http://" + d.addresses[0]
+		c.Standby.Of = d.scheme() + d.addresses[0]
+	}
+	if err := d.identified(c, i); err != nil {
+		return nil, err
 	}
 	if d.program != "" {
 		return d.apart(c, name)
@@ -275,6 +289,13 @@
 				Journal: d.journal, Ended: d.service.ended, Log: func(text string) { d.log.Debug().Msg(text) }}
 			set.Socket = front == daypb.Front_SOCKET
 			set.Stewards = d.stewardsOf(n)
+			if x := d.identities; x != nil {
+				source, secure, err := x.proving(fmt.Sprint("f", n), "/forwarder/"+set.Zone+"/"+set.Name)
+				if err != nil {
+					return fmt.Errorf("giving a forwarder its identity: %w", err)
+				}
+				set.TLS, set.Signed = secure, source.Signed(aSteward)
+			}
 			for _, t := range d.script.Traffic {
 				k := classes[t.Class]
 				set.Traffic = append(set.Traffic, standin.Traffic{Class: t.Class, Rate: t.Rate / float64(total),
@@ -307,10 +328,13 @@
 		first = first[:len(first)-1]
 	}
 	for i := range first {
-		urls = append(urls, "http://"+first[(n+i)%len(first)])
+		urls = append(urls, d.scheme()+first[(n+i)%len(first)])
 	}
 	for _, a := range d.addresses[len(first):] {
-		urls = append(urls, "http://"+a)
+		urls = append(urls, d.scheme()+a)
+	}
+	if d.rogue != "" {
+		urls = append(urls, d.scheme()+d.rogue)
 	}
 	return urls
 }
@@ -369,6 +393,12 @@
 		go func() { defer all.Done(); f.Run(traffic) }()
 	}
 	d.hostReports(traffic)
+	if x := d.identities; x != nil {
+		go x.renewing(traffic)
+		if err := d.impostors(traffic); err != nil {
+			d.log.Error().Err(err).Msg("the impostors could not begin")
+		}
+	}
 	for _, st := range d.script.Steps {
 		all.Add(1)
 		go func() { defer all.Done(); d.step(traffic, st) }()
@@ -426,6 +456,12 @@
 	d.gaps.print(d.out)
 	d.taken.print(d.out)
 	d.printRestarts()
+	if x := d.identities; x != nil {
+		x.print(d.out)
+		if r.Kept = x.kept(); !r.Kept {
+			fmt.Fprintln(d.out, "BROKEN  an impostor achieved something")
+		}
+	}
 	for _, v := range r.Verdicts {
 		word := "kept"
 		if !v.Kept {
@@ -437,6 +473,9 @@
 }
 
 func (d *day) end() {
+	if d.identities != nil {
+		defer d.identities.end()
+	}
 	for _, s := range d.stewards {
 		if s == nil {
 			continue
--- a/internal/rehearse/intake.go
+++ b/internal/rehearse/intake.go
@@ -29,11 +29,14 @@
 // hostReports has the hosts of groups that report by themselves do so.
 func (d *day) hostReports(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, MaxIdleConns: 1024}, Timeout: 2 * time.Second}
-	i := 0
+	i, urls := 0, []string(nil)
+	for _, a := range d.addresses {
+		urls = append(urls, d.scheme()+a)
+	}
 	for _, g := range d.script.Hosts {
 		for range g.Count {
 			if h := d.hosts[i]; g.ReportMs > 0 {
-				go h.Report(ctx, client, d.addresses, time.Duration(g.ReportMs*float64(time.Millisecond)), &d.taken.refused)
+				go h.Report(ctx, client, urls, time.Duration(g.ReportMs*float64(time.Millisecond)), &d.taken.refused)
 			}
 			i++
 		}
@@ -44,7 +47,7 @@
 func (d *day) sampleIntake() {
 	t := &d.taken
 	for i, address := range d.addresses {
-		r, err := t.client.Get("http://" + address + "/v1/intake")
+		r, err := t.client.Get(d.scheme() + address + "/v1/intake")
 		if err != nil {
 			continue
 		}
--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -44,7 +46,9 @@
 	Log        func(string)
 	Transacted func(client.Transaction) // told to the client, for a recording; nil: none
 	Applied    func(tag string)
-	Socket     bool // tables come by a runtime socket, and it polls nobody
+	TLS        *tls.Config                     // to stewards; nil: plain
+	Signed     func([]*x509.Certificate) error // judges who signed tables; nil: they need no signature
+	Socket     bool                            // tables come by a runtime socket, and it polls nobody
 }
 
 // Forwarder is a proxy: transactions come to it at random times, and it sends them where its tables say.
@@ -63,7 +67,7 @@
 // Options are those of the client that a forwarder is built on.
 func (set ForwarderSettings) Options() client.Options {
 	o := client.Options{Stewards: set.Stewards, Proxy: set.Name, Zone: set.Zone, Standing: set.Standing, Wait: set.Wait,
-		Period: set.Period, Ejects: set.Ejects}
+		Period: set.Period, Ejects: set.Ejects, Signed: set.Signed}
 	for _, t := range set.Traffic {
 		o.Rate += t.Rate
 		if t.Repeats {
@@ -77,7 +81,7 @@
 func NewForwarder(set ForwarderSettings) (*Forwarder, error) {
 	f := &Forwarder{set: set, streams: map[net.Conn]bool{},
 		hosts: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: set.conns()}}}
-	steward := &http.Client{Transport: &tap{f, &http.Transport{DialContext: f.dial, MaxIdleConnsPerHost: 4}}}
+	steward := &http.Client{Transport: &tap{f, &http.Transport{DialContext: f.dial, TLSClientConfig: set.TLS, MaxIdleConnsPerHost: 4}}}
 	var err error
 	o := set.Options()
 	if set.Socket {
@@ -100,6 +104,9 @@
 	return f, err
 }
 
+// Name is what its steward knows it by.
+func (f *Forwarder) Name() string { return f.set.Name }
+
 // Zone is where it stands.
 func (f *Forwarder) Zone() string { return f.set.Zone }
 
--- a/internal/standin/reports.go
+++ b/internal/standin/reports.go
@@ -63,7 +63,7 @@
 	return load
 }
 
-// Report sends the host's load to stewards at a period, until the context ends. While the host is down or mute it sends
+// Report sends the host's load to stewards, by their URLs, at a period, until the context ends. While the host is down or mute it sends
 // nothing. refused counts what the stewards did not let in.
 func (h *Host) Report(ctx context.Context, client *http.Client, stewards []string, period time.Duration, refused *atomic.Int64) {
 	for n := 1; ; n++ {
@@ -90,7 +90,7 @@
 		body, _ := json.Marshal(map[string]any{"sender": fmt.Sprint("life-", life), "number": n, "load": own,
 			"at": float64(time.Now().Add(t.ahead).UnixMicro()) / 1000})
 		for _, s := range stewards {
-			q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s+"/v1/hosts/"+h.Address+"/load", bytes.NewReader(body))
+			q, err := http.NewRequestWithContext(ctx, http.MethodPost, s+"/v1/hosts/"+h.Address+"/load", bytes.NewReader(body))
 			if err != nil {
 				return
 			}
