--- a/internal/daemon/identity_test.go
+++ b/internal/daemon/identity_test.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,7 +34,7 @@
 	own    *issuer.Endpoint
 }
 
-func withIdentities(t *testing.T, more string) *issued {
+func withIdentities(t *testing.T, inside string) *issued {
 	t.Helper()
 	folder, err := os.MkdirTemp("", "id") // a socket's path has to be short
 	if err != nil {
@@ -50,8 +51,8 @@
 	d.hosts(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "b" weight: 0.5 }`)
 	text := strings.Replace(base, "plain_loopback: true", fmt.Sprintf(`workload_api: %q
 		allow { id: "%[2]s/forwarder/{zone}/{proxy}" actions: "poll" actions: "sums" } allow { id: "%[2]s/host/{host}" actions: "report" }
-		allow { id: "%[2]s/operator/*" actions: "see" actions: "set" } allow { id: "%[2]s/steward/*" actions: "follow" }`, w.own.Address, domain), 1)
-	if d.cfg, err = config.Parse("test", []byte(text+more+fmt.Sprintf(" list { file: %q }", d.list))); err != nil {
+		allow { id: "%[2]s/operator/*" actions: "see" actions: "set" } allow { id: "%[2]s/steward/*" actions: "follow" } %[3]s`, w.own.Address, domain, inside), 1)
+	if d.cfg, err = config.Parse("test", []byte(text+fmt.Sprintf(" list { file: %q }", d.list))); err != nil {
 		t.Fatal(err)
 	}
 	d.start()
@@ -467,3 +468,76 @@
 	}
 	return a, nil
 }
+
+// A forwarder of a federated trust domain is known by that domain's roots, and may what a rule for it says, no more.
+func TestFederation(t *testing.T) {
+	w := withIdentities(t, `allow { id: "spiffe://club.example/forwarder/{zone}/{proxy}" actions: "poll" }`)
+	club, err := issuer.NewAuthority("club.example")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f9 := w.as(t, w.sign(t, club, "spiffe://club.example/forwarder/a/f9", time.Hour, nil))
+	get := func() int { s, _, _ := w.ask(f9, "GET", "/v1/proxies/f9/tables?zone=a", ""); return s }
+	if got := get(); got != 0 {
+		t.Errorf("%d without its domain's roots", got)
+	}
+	own := w.sign(t, w.root, domain+"/steward/one", time.Hour, nil)
+	w.own.Give(own, []*issuer.Authority{w.root}, club)
+	until(t, "the club's roots", func() bool { return get() == 200 })
+	if got, _, _ := w.ask(f9, "POST", "/v1/proxies/f9/sums", `{"number":1}`, "Content-Type", "application/json"); got != 403 {
+		t.Errorf("sums of the club's forwarder: %d", got)
+	}
+	// the club signs for our domain: its roots count for its own names only
+	if got, _, _ := w.ask(w.as(t, w.sign(t, club, domain+"/operator/ann", time.Hour, nil)), "GET", "/v1/hosts", ""); got != 0 {
+		t.Errorf("our operator by the club's root: %d", got)
+	}
+	w.own.Give(own, []*issuer.Authority{w.root})
+	until(t, "the club to be left out", func() bool { return get() != 200 })
+}
+
+// Three hundred forwarders come at once with cold caches, four handshakes going on at a time: all join, and a poll that was
+// held meanwhile is told a drain in time.
+func TestManyHandshakes(t *testing.T) {
+	w := withIdentities(t, "handshakes: 4")
+	id := func(i int) string { return fmt.Sprintf("%s/forwarder/a/g%d", domain, i) }
+	f1 := w.as(t, w.sign(t, w.root, domain+"/forwarder/a/f1", time.Hour, nil))
+	_, h, text := w.ask(f1, "GET", "/v1/proxies/f1/tables?zone=a", "")
+	for i := 0; i < 100 && !strings.Contains(text, "10.0.0.2:80"); i++ {
+		_, h, text = w.ask(f1, "GET", "/v1/proxies/f1/tables?zone=a", "", "If-None-Match", h.Get("Etag"), "Prefer", "wait=1")
+	}
+	const n = 300
+	clients := make([]*http.Client, n)
+	for i := range clients {
+		clients[i] = w.as(t, w.sign(t, w.root, id(i), time.Hour, nil))
+	}
+	told := make(chan time.Duration, 1)
+	began := time.Now()
+	go func() {
+		s, _, text := w.ask(f1, "GET", "/v1/proxies/f1/tables?zone=a", "", "If-None-Match", h.Get("Etag"), "Prefer", "wait=10", "A-IM", "merge-patch")
+		if s != 226 || !strings.Contains(text, `"10.0.0.1:80":null`) {
+			t.Errorf("the held poll: %d %s", s, text)
+		}
+		told <- time.Since(began)
+	}()
+	until(t, "the poll to be held", func() bool { return w.core.status().Polls == 1 })
+	var all sync.WaitGroup
+	joined := atomic.Int64{}
+	for i, c := range clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if s, _, _ := w.ask(c, "GET", fmt.Sprintf("/v1/proxies/g%d/tables?zone=a", i), ""); s == 200 {
+				joined.Add(1)
+			}
+		}()
+	}
+	w.hosts(`hosts { address: "10.0.0.1:80" zone: "a" phase: DRAINING } hosts { address: "10.0.0.2:80" zone: "b" weight: 0.5 }`)
+	if took := <-told; took > 3*time.Second {
+		t.Errorf("the held poll was told after %v, and the grace is 3 s", took)
+	}
+	all.Wait()
+	if joined.Load() != n {
+		t.Errorf("%d of %d joined", joined.Load(), n)
+	}
+	t.Logf("%d joined in %v", n, time.Since(began))
+}
