--- a/internal/rehearse/reports_test.go
+++ b/internal/rehearse/reports_test.go
@@ -9,12 +9,13 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/prototext"
 
+	"barleysail/internal/daemon"
 	"barleysail/internal/rehearse/daypb"
 	"barleysail/internal/rules"
 )
 
-// played plays a script and gives the day for a look at what it saw.
-func played(t *testing.T, text string) (*Result, *day, string) {
+// played plays a script, looks at the day before its stewards are ended, and gives it for a look at what it saw.
+func played(t *testing.T, text string, look ...func(*day)) (*Result, *day, string) {
 	t.Helper()
 	script := &daypb.Day{}
 	if err := prototext.Unmarshal([]byte(text), script); err != nil {
@@ -22,7 +23,12 @@
 	}
 	var out strings.Builder
 	var seen *day
-	r, err := playing(context.Background(), script, "test", "", "", &out, zerolog.New(io.Discard), func(*rules.Figures) {}, func(d *day) { seen = d })
+	r, err := playing(context.Background(), script, "test", "", "", &out, zerolog.New(io.Discard), func(*rules.Figures) {}, func(d *day) {
+		seen = d
+		for _, f := range look {
+			f(d)
+		}
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,3 +100,29 @@
 		t.Errorf("no sums came: %+v", last)
 	}
 }
+
+// The first of two stewards is killed while a host hangs and another drains; the second stands by and takes over, and the
+// first comes back with its state. All rules hold throughout, counted from what passed.
+func TestStandbyDay(t *testing.T) {
+	t.Parallel()
+	look := func(d *day) {
+		second := d.stewards[1].(*daemon.Daemon).Operators().Status()
+		if m := second.Memory; m == nil || m.Hosts != 6 || m.Proxies != 4 {
+			t.Errorf("the standby: %+v, %+v", second, m)
+		}
+		first := d.stewards[0].(*daemon.Daemon).Operators().Status()
+		if m := first.Memory; m == nil || m.Hosts != 6 || m.PassedMs < 3000 || m.PassedMs > 8000 {
+			t.Errorf("the first when it is back: %+v", m)
+		}
+	}
+	r, _, out := played(t, `length_s: 11 seed: 9 stewards: 2 standby: true state: true list_late_ms: 200
+steward { zones: ["a", "b"] classes { name: "sheet" due_ms: 1000 patience_ms: 2500 earnings: 3 }
+  classes { name: "finish" due_ms: 500 patience_ms: 1200 earnings: 9 } guard { cold_ms: 4000 grace_ms: 2500 } standby { fresh_ms: 1500 } state { every_ms: 200 } }
+hosts { zone: "a" count: 3 } hosts { zone: "b" count: 3 } forwarders { zone: "a" count: 2 } forwarders { zone: "b" count: 2 }
+traffic { class: "sheet" rate: 40 work_ms: 30 } traffic { class: "finish" rate: 40 work_ms: 20 effect: ONCE }
+steps { at_s: 3 for_s: 4 what: HANG zone: "a" count: 1 } steps { at_s: 4.5 for_s: 4 what: DRAIN zone: "b" first: 2 count: 1 }
+steps { at_s: 5 for_s: 4 what: KILL steward: 0 }`, look)
+	if !r.Kept || r.Service < 0.5 {
+		t.Error(out)
+	}
+}
