JWT-SVIDs for callers without a certificate, bound to the connection they were first seen on

A program that cannot show a certificate could not be let in at all. Where tokens is set a JWT-SVID for the steward's own name is taken; auth.Tokens binds each to a connection until it ends, so that a copied one is worth nothing, and a poll is held no longer than its token lasts. An issuer that hands out the same key twice is told of.

Loopback test: of eleven tokens the good one alone, and it on its own connection alone.

--- a/auth/auth_test.go
+++ b/auth/auth_test.go
@@ -96,3 +96,23 @@
 		}
 	})
 }
+
+// A token belongs to the connection it was first seen on, is forgotten at its end, and what is remembered is bounded.
+func TestTokens(t *testing.T) {
+	k := NewTokens(2)
+	for _, x := range []struct {
+		now  float64
+		text string
+		ends float64
+		conn int64
+		want bool
+	}{{0, "a", 100, 1, true}, {10, "a", 100, 1, true}, {20, "a", 100, 2, false}, {30, "a", 100, 1, true}, {40, "b", 200, 2, true}, {50, "c", 60, 3, false},
+		{100, "a", 100, 1, false}, {101, "c", 160, 3, true}, {102, "c", 160, 4, false}, {103, "d", 300, 5, false}, {161, "d", 300, 5, true}, {400, "e", 350, 6, false}} {
+		if got := k.Use(x.now, x.text, x.ends, x.conn); got != x.want {
+			t.Errorf("%+v: %v", x, got)
+		}
+	}
+	if k.Known() != 0 {
+		t.Errorf("%d are remembered", k.Known())
+	}
+}
--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"barleysail/auth"
@@ -29,8 +30,11 @@
 	core      *core
 	policy    *auth.Policy     // nil: anybody may do everything
 	source    *identity.Source // nil: plain
-	keeper    *keeper          // nil: nothing is kept
-	standing  *standing        // nil: it stands by nobody
+	tokens    *identity.Tokens // nil: none are taken
+	usedMu    sync.Mutex
+	used      *auth.Tokens
+	keeper    *keeper   // nil: nothing is kept
+	standing  *standing // nil: it stands by nobody
 	following *following
 	ops       *Operators
 	version   string
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/prototext"
 
+	"barleysail/auth"
 	"barleysail/intake"
 	"barleysail/internal/config"
 	"barleysail/internal/config/configpb"
@@ -41,6 +42,7 @@
 	keeper   *keeper
 	standing *standing
 	source   *identity.Source // nil: plain
+	tokens   *identity.Tokens // nil: none are taken
 	kept     sync.WaitGroup
 }
 
@@ -110,7 +112,7 @@
 	if err := d.follow(ctx, c, log); err != nil {
 		return nil, err
 	}
-	a := &api{core: d.core, policy: policy, source: d.source, keeper: d.keeper, standing: d.standing, following: &following{core: d.core, life: life}, ops: d.Operators(), version: version}
+	a := &api{core: d.core, policy: policy, source: d.source, tokens: d.tokens, used: auth.NewTokens(mostTokens), keeper: d.keeper, standing: d.standing, following: &following{core: d.core, life: life}, ops: d.Operators(), version: version}
 	d.server = http1.NewServer(a.mux(), http1.Config{Limits: http1.Limits{Body: int64(*c.Server.BodyBytes)},
 		Header: ms(*c.Server.HeaderMs), Body: ms(*c.Server.BodyMs), Idle: ms(*c.Server.IdleMs),
 		Write: ms(*c.Server.WriteMs), Conns: int(*c.Server.Connections),
@@ -278,6 +280,9 @@
 	for _, c := range d.clients {
 		c.Close()
 	}
+	if d.tokens != nil {
+		d.tokens.Close()
+	}
 	if d.source != nil {
 		d.source.Close()
 	}
--- a/internal/daemon/identify.go
+++ b/internal/daemon/identify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"math"
 	"strings"
@@ -34,7 +35,10 @@
 	if d.source, err = identity.Open(wait, c.Identity.WorkloadApi); err != nil {
 		return nil, nil, err
 	}
-	tell := func() {
+	tell := func(again bool) {
+		if again {
+			log.Warn().Msg("the issuer handed out the same key again: whoever has copied it can prove this identity too")
+		}
 		id, until, err := d.source.Own()
 		if err != nil {
 			log.Error().Err(err).Msg("no identity")
@@ -42,10 +46,20 @@
 		}
 		log.Info().Str("id", id.String()).Time("until", until).Msg("identity taken up")
 	}
-	tell()
+	tell(false)
 	d.kept.Add(1)
 	go func() { defer d.kept.Done(); d.source.Follow(ctx, tell) }()
-	peer := func(s tls.ConnectionState) (http1.Peer, error) {
+	secure := &http1.Secure{TLS: d.source.Server(), AtOnce: int(*c.Identity.Handshakes)}
+	if c.Identity.Tokens {
+		if d.tokens, err = identity.OpenTokens(wait, c.Identity.WorkloadApi); err != nil {
+			return nil, nil, err
+		}
+		secure.TLS = d.source.ServerWithTokens()
+	}
+	secure.Peer = func(s tls.ConnectionState) (http1.Peer, error) {
+		if len(s.PeerCertificates) == 0 {
+			return d.source.Anonymous()
+		}
 		p, err := d.source.Peer(s)
 		if err != nil {
 			log.Warn().Err(err).Msg("a connection was refused")
@@ -53,7 +67,7 @@
 		}
 		return p, nil
 	}
-	return policy, &http1.Secure{TLS: d.source.Server(), Peer: peer, AtOnce: int(*c.Identity.Handshakes)}, nil
+	return policy, secure, nil
 }
 
 // tlsFor gives what a call to a server with an identity needs; nil where the steward has none itself.
@@ -75,16 +89,16 @@
 		if a.policy == nil {
 			return serve(q)
 		}
-		p, ok := q.Peer.(*identity.Peer)
-		if !ok {
-			return http1.Problem{Status: 401, Detail: "the connection proves nobody"}.Reply()
+		id, err := a.who(q)
+		if err != nil {
+			return http1.Problem{Status: 401, Detail: err.Error()}.Reply("Www-Authenticate", "Bearer")
 		}
 		r := auth.Request{Action: action, Proxy: q.Params["proxy"], Zone: q.Query.Get("zone"), Host: q.Params["host"]}
 		if r.Proxy != "" && action != auth.Poll { // what a request says of itself counts only where it joins
 			r.Zone = look(a.core, func(s *steward.Steward) string { return s.ZoneOf(r.Proxy) })
 		}
-		if v := a.policy.Decide(p.ID, r); !v.Allowed {
-			return http1.Problem{Status: 403, Detail: p.ID.String() + " may not " + string(action) + " here: " + strings.Join(v.Why, "; ")}.Reply()
+		if v := a.policy.Decide(id, r); !v.Allowed {
+			return http1.Problem{Status: 403, Detail: id.String() + " may not " + string(action) + " here: " + strings.Join(v.Why, "; ")}.Reply()
 		}
 		return serve(q)
 	}
@@ -99,6 +113,40 @@
 	return wanted
 }
 
+// mostTokens are remembered until they end.
+const mostTokens = 100000
+
+// who tells whose request it is: by the connection's certificate, or else by the token that it bears (RFC 6750, 2.1), which
+// has to be for us, and used on one connection only.
+func (a *api) who(q *http1.Request) (id spiffeid.ID, err error) {
+	p, ok := q.Peer.(*identity.Peer)
+	if !ok {
+		return id, errors.New("the connection proves nobody")
+	}
+	if !p.ID.IsZero() {
+		return p.ID, nil
+	}
+	scheme, token, _ := strings.Cut(q.Header.Get("Authorization"), " ")
+	if a.tokens == nil || !strings.EqualFold(scheme, "Bearer") {
+		return id, errors.New("neither a certificate nor a token was shown")
+	}
+	own, _, err := a.source.Own()
+	if err != nil {
+		return id, err
+	}
+	id, ends, err := a.tokens.Judge(strings.TrimSpace(token), own.String())
+	if err != nil {
+		return id, err
+	}
+	a.usedMu.Lock()
+	defer a.usedMu.Unlock()
+	if !a.used.Use(wallNow(), token, float64(ends.UnixMilli()), q.Conn) {
+		return id, errors.New("the token was used on another connection, or is over: a fresh one is needed")
+	}
+	q.Until = ends
+	return id, nil
+}
+
 // signedFor is how long a proxy may take a table up after it was told: not how long it may go by it.
 const signedFor = 5 * time.Minute
 
--- a/internal/daemon/identity_test.go
+++ b/internal/daemon/identity_test.go
@@ -47,6 +47,9 @@
 	}
 	w.own = w.endpoint(t, "steward")
 	w.own.Give(w.sign(t, w.root, domain+"/steward/one", time.Hour, nil), []*issuer.Authority{w.root})
+	if err := w.own.GiveKeys(w.root); err != nil {
+		t.Fatal(err)
+	}
 	d := &started{t: t, list: folder + "/hosts.textproto", log: &lockedBuffer{}}
 	d.hosts(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "b" weight: 0.5 }`)
 	text := strings.Replace(base, "plain_loopback: true", fmt.Sprintf(`workload_api: %q
@@ -62,6 +65,13 @@
 	return w
 }
 
+// anonymous makes an HTTP client that shows no certificate.
+func anonymous(t *testing.T) *http.Client {
+	x := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13}}
+	t.Cleanup(x.CloseIdleConnections)
+	return &http.Client{Transport: x, Timeout: 20 * time.Second}
+}
+
 func (w *issued) endpoint(t *testing.T, name string) *issuer.Endpoint {
 	t.Helper()
 	e, err := issuer.NewEndpoint(w.folder, name)
@@ -284,6 +294,23 @@
 	}
 }
 
+// An issuer that hands out the same key twice is told of, and served by all the same.
+func TestSameKeyTwice(t *testing.T) {
+	w := withIdentities(t, "")
+	v := w.sign(t, w.root, domain+"/steward/one", time.Hour, nil)
+	said := func() int { return strings.Count(w.log.String(), "the same key again") }
+	w.own.Give(v, []*issuer.Authority{w.root})
+	until(t, "a fresh key", func() bool { return strings.Count(w.log.String(), "identity taken up") >= 2 })
+	if said() != 0 {
+		t.Error("a fresh key was taken for the same")
+	}
+	w.own.Give(v, []*issuer.Authority{w.root})
+	until(t, "the same key to be told", func() bool { return said() > 0 })
+	if s, _, _ := w.ask(w.as(t, w.sign(t, w.root, domain+"/operator/ann", time.Hour, nil)), "GET", "/v1/hosts", ""); s != 200 {
+		t.Errorf("%d", s)
+	}
+}
+
 // A client whose identities live a second or two, renewed again and again while it polls and sends sums, never goes without: what
 // its steward decides comes through, and no transaction lacks a host.
 func TestRenewals(t *testing.T) {
@@ -541,3 +568,69 @@
 	}
 	t.Logf("%d joined in %v", n, time.Since(began))
 }
+
+// Tokens stand in for a certificate where the steward takes them: for its own name, in time, and on one connection only.
+func TestTokens(t *testing.T) {
+	w := withIdentities(t, "tokens: true")
+	other, err := issuer.NewAuthority("other.example")
+	if err != nil {
+		t.Fatal(err)
+	}
+	us, ann := domain+"/steward/one", domain+"/operator/ann"
+	token := func(a *issuer.Authority, id string, aud []string, life time.Duration, change func(map[string]any)) string {
+		text, err := a.Token(id, aud, life, change)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	for _, x := range []struct {
+		what, token string
+		want        int
+	}{
+		{"as it should be", token(w.root, ann, []string{us}, time.Minute, nil), 200},
+		{"for another steward", token(w.root, ann, []string{domain + "/steward/two"}, time.Minute, nil), 401},
+		{"for several", token(w.root, ann, []string{us, domain + "/steward/two"}, time.Minute, nil), 401},
+		{"over", token(w.root, ann, []string{us}, -2*time.Minute, nil), 401},
+		{"without an end", token(w.root, ann, []string{us}, time.Minute, func(c map[string]any) { delete(c, "exp") }), 401},
+		{"of nobody", token(w.root, ann, []string{us}, time.Minute, func(c map[string]any) { delete(c, "sub") }), 401},
+		{"by another domain's key", token(other, ann, []string{us}, time.Minute, nil), 401},
+		{"of another domain", token(other, "spiffe://other.example/operator/ann", []string{us}, time.Minute, nil), 401},
+		{"of a forwarder", token(w.root, domain+"/forwarder/a/f1", []string{us}, time.Minute, nil), 403},
+		{"none", "", 401}, {"no token", "x.y.z", 401},
+	} {
+		if got, _, text := w.ask(anonymous(t), "GET", "/v1/hosts", "", "Authorization", "Bearer "+x.token); got != x.want {
+			t.Errorf("%s: %d, not %d: %s", x.what, got, x.want, text)
+		}
+	}
+	good := token(w.root, ann, []string{us}, time.Minute, nil)
+	owner, thief := anonymous(t), anonymous(t)
+	for i, x := range []struct {
+		c    *http.Client
+		want int
+	}{{owner, 200}, {thief, 401}, {owner, 200}} {
+		if got, _, _ := w.ask(x.c, "GET", "/v1/hosts", "", "Authorization", "Bearer "+good); got != x.want {
+			t.Errorf("use %d: %d", i, got)
+		}
+	}
+	// a certificate that is shown has to be good, token or not
+	if got, _, _ := w.ask(w.as(t, w.sign(t, other, ann, time.Hour, nil)), "GET", "/v1/hosts", "", "Authorization", "Bearer "+token(w.root, ann, []string{us}, time.Minute, nil)); got != 0 {
+		t.Errorf("a bad certificate beside a token: %d", got)
+	}
+	// a poll is held no longer than its token lasts
+	began := time.Now()
+	f1 := token(w.root, domain+"/forwarder/a/f1", []string{us}, 3*time.Second, nil)
+	c := anonymous(t)
+	_, h, text := w.ask(c, "GET", "/v1/proxies/f1/tables?zone=a", "", "Authorization", "Bearer "+f1)
+	for i := 0; i < 20 && !strings.Contains(text, "10.0.0.2:80"); i++ {
+		_, h, text = w.ask(c, "GET", "/v1/proxies/f1/tables?zone=a", "", "Authorization", "Bearer "+f1, "If-None-Match", h.Get("Etag"), "Prefer", "wait=1")
+	}
+	got, _, _ := w.ask(c, "GET", "/v1/proxies/f1/tables?zone=a", "", "Authorization", "Bearer "+f1, "If-None-Match", h.Get("Etag"), "Prefer", "wait=10")
+	if took := time.Since(began); got != 304 || took > 4*time.Second {
+		t.Errorf("held: %d after %v", got, took)
+	}
+	plain := withIdentities(t, "")
+	if got, _, _ := plain.ask(anonymous(t), "GET", "/v1/hosts", "", "Authorization", "Bearer "+good); got != 0 {
+		t.Errorf("a steward that takes no tokens: %d", got)
+	}
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -14,6 +14,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Limits bound what a peer may send.
@@ -34,6 +35,8 @@
 	Body    []byte
 	Remote  string
 	Peer    Peer              // who sent it; nil on a plain connection
+	Conn    int64             // the number of its connection
+	Until   time.Time         // when what proves its sender ends before the connection's own proof; zero: it does not
 	Params  map[string]string // of the route's path
 	conn    *conn
 	expects bool
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -85,6 +85,7 @@
 
 	mu      sync.Mutex
 	conns   map[*conn]bool
+	opened  int64
 	closing bool
 	done    sync.WaitGroup
 
@@ -139,6 +140,8 @@
 		return false
 	}
 	s.conns[c] = true
+	s.opened++
+	c.number = s.opened
 	s.done.Add(1)
 	return true
 }
@@ -202,6 +205,7 @@
 type conn struct {
 	net    net.Conn
 	server *Server
+	number int64
 	reader *reader // nil while nothing is buffered
 	writer *bufio.Writer
 	peer   Peer      // nil: plain
@@ -242,7 +246,10 @@
 	if q.conn == nil || q.conn.peer == nil {
 		return time.Time{}, false
 	}
-	return q.conn.retire, true
+	if at = q.conn.retire; !q.Until.IsZero() && q.Until.Before(at) {
+		at = q.Until
+	}
+	return at, true
 }
 
 // still tells whether the peer is still to be served.
@@ -323,7 +330,7 @@
 		c.complain(err)
 		return false
 	}
-	q.conn, q.Remote, q.Peer = c, c.net.RemoteAddr().String(), c.peer
+	q.conn, q.Remote, q.Peer, q.Conn = c, c.net.RemoteAddr().String(), c.peer, c.number
 	if !c.still() {
 		r := Problem{Status: 401, Detail: "the identity is over, or no longer trusted"}.Reply()
 		r.Close = true
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -46,18 +47,35 @@
 }
 
 // Follow counts updates until the context ends, and calls changed after each.
-func (s *Source) Follow(ctx context.Context, changed func()) {
+//
+// again tells that the key is the one of before: an issuer should make a fresh one for each identity, since a key that is
+// kept lets whoever has copied it prove the next identity too. The identity is taken all the same, and signs anew.
+func (s *Source) Follow(ctx context.Context, changed func(again bool)) {
+	last := s.key()
 	for {
 		select {
 		case <-s.x.Updated():
 			s.rounds.Add(1)
-			changed()
+			key := s.key()
+			again := key != nil && last != nil && key.Equal(last)
+			last = key
+			changed(again)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// key is the public key of our identity; nil where there is none.
+func (s *Source) key() interface{ Equal(crypto.PublicKey) bool } {
+	v, err := s.x.GetX509SVID()
+	if err != nil {
+		return nil
+	}
+	key, _ := v.PrivateKey.Public().(interface{ Equal(crypto.PublicKey) bool })
+	return key
+}
+
 // Close gives the source up.
 func (s *Source) Close() error { return s.x.Close() }
 
@@ -172,7 +190,7 @@
 	if !p.source.now().Before(p.Until) {
 		return ErrEnded
 	}
-	if p.rounds != p.source.rounds.Load() {
+	if len(p.certs) > 0 && p.rounds != p.source.rounds.Load() {
 		return p.judge()
 	}
 	return nil
--- a/internal/standin/issuer/issuer.go
+++ b/internal/standin/issuer/issuer.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/json"
 	"fmt"
 	"math/big"
 	"net"
@@ -18,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-jose/go-jose/v4"
 	"github.com/spiffe/go-spiffe/v2/proto/spiffe/workload"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -96,6 +98,7 @@
 	svid    *SVID
 	bundle  []byte            // roots of its own trust domain, DER one after the other
 	others  map[string][]byte // of federated ones, by trust domain
+	keys    map[string][]byte // JWK sets, by trust domain
 	changed chan struct{}
 }
 
@@ -164,3 +167,67 @@
 	}
 	return nil
 }
+
+// keyID names an authority's key in tokens.
+func (a *Authority) keyID() string { return "key-of-" + a.Domain }
+
+// Token signs a JWT-SVID for an audience; change may make it one that must not be.
+func (a *Authority) Token(id string, audience []string, life time.Duration, change func(map[string]any)) (string, error) {
+	claims := map[string]any{"sub": id, "aud": audience, "iat": time.Now().Unix(), "exp": time.Now().Add(life).Unix()}
+	if change != nil {
+		change(claims)
+	}
+	s, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.ES256, Key: jose.JSONWebKey{Key: a.key, KeyID: a.keyID()}}, (&jose.SignerOptions{}).WithType("JWT"))
+	if err != nil {
+		return "", fmt.Errorf("signing a token: %w", err)
+	}
+	text, err := json.Marshal(claims)
+	if err != nil {
+		return "", fmt.Errorf("signing a token: %w", err)
+	}
+	j, err := s.Sign(text)
+	if err != nil {
+		return "", fmt.Errorf("signing a token: %w", err)
+	}
+	return j.CompactSerialize()
+}
+
+// GiveKeys hands out the keys to judge tokens by.
+func (e *Endpoint) GiveKeys(all ...*Authority) error {
+	keys := map[string][]byte{}
+	for _, a := range all {
+		text, err := json.Marshal(jose.JSONWebKeySet{Keys: []jose.JSONWebKey{{Key: a.key.Public(), KeyID: a.keyID(), Use: "jwt-svid"}}})
+		if err != nil {
+			return fmt.Errorf("writing keys: %w", err)
+		}
+		keys["spiffe://"+a.Domain] = text
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.keys = keys
+	close(e.changed)
+	e.changed = make(chan struct{})
+	return nil
+}
+
+// FetchJWTBundles streams the keys (SPIFFE Workload API, section 6.2.3).
+func (e *Endpoint) FetchJWTBundles(_ *workload.JWTBundlesRequest, out workload.SpiffeWorkloadAPI_FetchJWTBundlesServer) error {
+	if err := secured(out.Context()); err != nil {
+		return err
+	}
+	for {
+		e.mu.Lock()
+		keys, changed := e.keys, e.changed
+		e.mu.Unlock()
+		if len(keys) > 0 {
+			if err := out.Send(&workload.JWTBundlesResponse{Bundles: keys}); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-changed:
+		case <-out.Context().Done():
+			return nil
+		}
+	}
+}
