--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -112,16 +112,19 @@
 	return http1.Reply{Held: held}
 }
 
+// tableBody is a class's table, as in the documents that proxies get.
+type tableBody struct {
+	Hosts map[string]float64 `json:"hosts"`
+	Share *float64           `json:"share"`
+	Tries *int               `json:"tries"`
+}
+
 // readOffer reads what a proxy holds: the document that it was given, and its tag.
 func readOffer(q *http1.Request) (*steward.Offer, *http1.Reply) {
 	var b struct {
-		Tag    string `json:"tag"`
-		Proxy  string `json:"proxy"`
-		Tables map[string]struct {
-			Hosts map[string]float64 `json:"hosts"`
-			Share *float64           `json:"share"`
-			Tries *int               `json:"tries"`
-		} `json:"tables"`
+		Tag    string               `json:"tag"`
+		Proxy  string               `json:"proxy"`
+		Tables map[string]tableBody `json:"tables"`
 	}
 	if err := readJSON(q, &b); err != nil {
 		r := malformed(err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,10 +98,9 @@
 		}
 	}
 	if c.Standby.Of != "" {
-		if d.standing, err = newStanding(c.Standby.Of, *c.Standby.FreshMs, *c.Guard.ColdMs, d.core, log); err != nil {
+		if d.standing, err = newStanding(c.Standby.Of, d.tlsFor(c.Standby.Id), *c.Standby.FreshMs, *c.Guard.ColdMs, d.core, log); err != nil {
 			return nil, err
 		}
-		d.standing.client.TLS = d.tlsFor(c.Standby.Id)
 		d.clients = append(d.clients, d.standing.client)
 	}
 	probes := &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 64 << 10}, Idle: 1024}
@@ -152,7 +151,7 @@
 		go l.follow(ctx)
 		return nil
 	}
-	l, err := newListService(c.List.Url, ms(*c.List.WaitMs))
+	l, err := newListService(c.List.Url, d.source != nil, ms(*c.List.WaitMs))
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/identity_test.go
+++ b/internal/daemon/identity_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -82,6 +83,17 @@
 	return e
 }
 
+// opened takes up what an endpoint hands out.
+func opened(t *testing.T, e *issuer.Endpoint) *identity.Source {
+	t.Helper()
+	s, err := identity.Open(context.Background(), e.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
 func (w *issued) sign(t *testing.T, a *issuer.Authority, id string, life time.Duration, change func(*x509.Certificate)) *issuer.SVID {
 	t.Helper()
 	v, err := a.Sign(id, life, change)
@@ -322,11 +334,7 @@
 	give()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	source, err := identity.Open(ctx, e.Address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer source.Close()
+	source := opened(t, e)
 	tlsOf := source.Client(func(id spiffeid.ID) error {
 		if id.String() != domain+"/steward/one" {
 			return fmt.Errorf("an impostor: %s", id)
@@ -349,8 +357,12 @@
 	ended := make(chan struct{})
 	go func() { c.Run(ctx); close(ended) }()
 	until(t, "tables", func() bool { _, ok := c.Pick("sheet"); return ok })
+	renewals := 16 // four seconds; RENEWALS=1000 takes as many
+	if n, err := strconv.Atoi(os.Getenv("RENEWALS")); err == nil {
+		renewals = n
+	}
 	began := time.Now()
-	for i := range 16 { // four seconds, each identity renewed at a quarter of a second
+	for i := range renewals { // each identity renewed after a quarter of a second
 		give()
 		weight := 0.5 + float64(i%4)/10
 		w.hosts(fmt.Sprintf(`hosts { address: "10.0.0.1:80" zone: "a" } hosts { address: "10.0.0.2:80" zone: "b" weight: %g }`, weight))
@@ -388,11 +400,7 @@
 	e.Give(w.sign(t, w.root, domain+"/forwarder/a/f1", time.Hour, nil), []*issuer.Authority{w.root})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	source, err := identity.Open(ctx, e.Address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer source.Close()
+	source := opened(t, e)
 	is := func(want string) func(spiffeid.ID) error {
 		return func(id spiffeid.ID) error {
 			if id.String() != domain+want {
--- a/internal/daemon/listservice.go
+++ b/internal/daemon/listservice.go
@@ -44,19 +44,30 @@
 	} `json:"hosts"`
 }
 
-func newListService(raw string, wait time.Duration) (*listService, error) {
-	u, err := url.Parse(raw)
-	if err != nil || u.Scheme != "http" || u.Host == "" {
-		return nil, fmt.Errorf("list.url: %q is no http URL", raw)
-	}
-	address := u.Host
-	if u.Port() == "" {
-		address += ":80"
+func newListService(raw string, secure bool, wait time.Duration) (*listService, error) {
+	u, address, err := serviceOf("list.url", raw, secure)
+	if err != nil {
+		return nil, err
 	}
 	return &listService{address: address, target: u.RequestURI(), wait: wait,
 		client: &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 64 << 20}}}, nil
 }
 
+// serviceOf reads the URL of a service that the steward calls: https where it has an identity, else http.
+func serviceOf(field, raw string, secure bool) (u *url.URL, address string, err error) {
+	scheme, port := "http", ":80"
+	if secure {
+		scheme, port = "https", ":443"
+	}
+	if u, err = url.Parse(raw); err != nil || u.Scheme != scheme || u.Host == "" {
+		return nil, "", fmt.Errorf("%s: %q is no %s URL", field, raw, scheme)
+	}
+	if address = u.Host; u.Port() == "" {
+		address += port
+	}
+	return u, address, nil
+}
+
 // watch asks for the list and then for its changes until that fails.
 func (l *listService) watch() {
 	if !l.asking.CompareAndSwap(false, true) {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -99,13 +99,9 @@
 // guardCheck looks at tables that an operator would have published: in the form of the document that proxies get.
 func (a *api) guardCheck(q *http1.Request) http1.Reply {
 	var b struct {
-		Zone   string `json:"zone"`
-		Proxy  string `json:"proxy"` // as in a proxy's document; not looked at
-		Tables map[string]struct {
-			Hosts map[string]float64 `json:"hosts"`
-			Share *float64           `json:"share"` // likewise
-			Tries *int               `json:"tries"`
-		} `json:"tables"`
+		Zone   string               `json:"zone"`
+		Proxy  string               `json:"proxy"` // as in a proxy's document; not looked at, nor are shares and tries
+		Tables map[string]tableBody `json:"tables"`
 	}
 	if err := readJSON(q, &b); err != nil {
 		return malformed(err)
--- a/internal/daemon/standby.go
+++ b/internal/daemon/standby.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math"
-	"net/url"
 	"sync"
 	"time"
 
@@ -48,17 +48,13 @@
 	TookMs  float64 `json:"took_over_ms"`
 }
 
-func newStanding(of string, fresh, cold float64, c *core, log zerolog.Logger) (*standing, error) {
-	u, err := url.Parse(of)
-	if err != nil || u.Scheme != "http" || u.Host == "" {
-		return nil, fmt.Errorf("standby.of: %q is no http URL", of)
-	}
-	address := u.Host
-	if u.Port() == "" {
-		address += ":80"
+func newStanding(of string, secure *tls.Config, fresh, cold float64, c *core, log zerolog.Logger) (*standing, error) {
+	_, address, err := serviceOf("standby.of", of, secure != nil)
+	if err != nil {
+		return nil, err
 	}
 	return &standing{core: c, log: log, address: address, cold: cold, by: standby.New(standby.Limits{Fresh: fresh}),
-		client: &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 256 << 20}}}, nil
+		client: &http1.Client{Limits: http1.Limits{Line: 8 << 10, Header: 32 << 10, Body: 256 << 20}, TLS: secure}}, nil
 }
 
 // run follows the first until the context ends, also once it serves: then for whom it may not.
--- a/internal/rehearse/reports_test.go
+++ b/internal/rehearse/reports_test.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// The first of two stewards is killed while a host hangs and another drains; the second stands by and takes over, and the
+// All prove who they are. The first of two stewards is killed while a host hangs and another drains; the second stands by and takes over, and the
 // first comes back with its state. All rules hold throughout, counted from what passed.
 func TestStandbyDay(t *testing.T) {
 	t.Parallel()
@@ -115,7 +115,7 @@
 			t.Errorf("the first when it is back: %+v", m)
 		}
 	}
-	r, _, out := played(t, `length_s: 11 seed: 9 stewards: 2 standby: true state: true list_late_ms: 200
+	r, _, out := played(t, `length_s: 11 seed: 9 stewards: 2 standby: true state: true identities: true identity_life_s: 5 list_late_ms: 200
 steward { zones: ["a", "b"] classes { name: "sheet" due_ms: 1000 patience_ms: 2500 earnings: 3 }
   classes { name: "finish" due_ms: 500 patience_ms: 1200 earnings: 9 } guard { cold_ms: 4000 grace_ms: 2500 } standby { fresh_ms: 1500 } state { every_ms: 200 } }
 hosts { zone: "a" count: 3 } hosts { zone: "b" count: 3 } forwarders { zone: "a" count: 2 } forwarders { zone: "b" count: 2 }
