--- a/intake/trust.go
+++ b/intake/trust.go
@@ -292,6 +292,14 @@
 	return r, true
 }
 
+// Trusted is how far a host's load reports are trusted, 1 where nothing is known.
+func (t *Trust) Trusted(name string) float64 {
+	if h := t.hosts[name]; h != nil {
+		return h.trust
+	}
+	return 1
+}
+
 // Direct tells whether a report that a host sent itself is news, and how old it is by the host's stamp, 0 where it has
 // none.
 func (t *Trust) Direct(now float64, name, sender string, number int64, stamp float64) (news bool, age float64) {
--- a/steward/remember.go
+++ b/steward/remember.go
@@ -221,13 +221,10 @@
 			continue
 		}
 		h := &statepb.Host{Name: host, Zone: e.Zone, Started: math.Max(x.Started, 0), Weight: 1, Rate: x.Rate, R: x.R, Won: x.Won, Lost: x.Lost,
-			Out: x.Out, Absent: x.Absent, Trust: 1, At: now}
+			Out: x.Out, Absent: x.Absent, Trust: s.intake.trust.Trusted(host), At: now}
 		if x.Listed > 0 {
 			h.Weight = x.Weight / x.Listed
 		}
-		if i, ok := s.intake.trust.Host(now, host, s.capacity(host)); ok {
-			h.Trust = i.Trust
-		}
 		if e.Phase == decide.Draining {
 			h.Drains = s.drainsSince(host)
 		}
