--- a/cmd/barleysail/state.go
+++ b/cmd/barleysail/state.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"barleysail/internal/statefile"
+	"barleysail/operator"
 	"barleysail/state"
 	"barleysail/state/statepb"
 )
@@ -84,7 +85,9 @@
 	if r.Why != "" {
 		fmt.Fprintln(out, "less than all is known:", r.Why)
 	}
-	fmt.Fprintf(out, "level %.2f, now %.2f; median of mean times %.1f ms\n", s.GetFleet().GetLevel(), r.Level, r.Median)
+	if f := s.GetFleet(); f != nil {
+		fmt.Fprintf(out, "level %.2f, now %.2f; median of mean times %.1f ms\n", f.Level, r.Level, r.Median)
+	}
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "host\tzone\tweight\tnow\tr ms\tnow\tlost\tnow\twithdrawn\tnow\ttrust\tnow\tstarted\tdrains since")
 	for _, h := range s.Hosts {
@@ -96,7 +99,7 @@
 			h.Lost, k.Lost, h.Out, k.Out, h.Trust, k.Trust, ago(h.Started, now), ago(h.Drains, now))
 	}
 	for _, x := range r.Settings {
-		fmt.Fprintf(w, "operator set %s\tstate %d\tweight %g\tpart %g\tby %s\n", x.Host, x.State, x.Weight, x.Part, x.By)
+		fmt.Fprintf(w, "operator set %s\t%s\tweight %g\tpart %g\tby %s\n", x.Host, operator.State(min(max(x.State, 0), int32(operator.Maint))), x.Weight, x.Part, x.By)
 	}
 	fmt.Fprintf(w, "%d proxies are known, %d of them with their tables (%d different)\n", len(s.Proxies), withTables(r), len(s.Tables))
 	return w.Flush()
