--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -248,7 +248,7 @@
 	if d.script.State {
 		c.State.Folder = filepath.Join(d.dir, fmt.Sprintf("state-%d", i))
 	}
-	if last := int(d.script.Stewards) - 1; d.script.Standby && i == last {
+	if last := int(d.script.Stewards) - 1; d.script.Standby && i == last && c.Standby.Of == "" {
 		c.Standby.Of = d.scheme() + d.addresses[0]
 	}
 	if err := d.identified(c, i); err != nil {
