Bounds on what is recalled, found by fuzzing: no figure that is none, no start in the future

A state whose sums fit may still hold nonsense, from a clock that was wrong when it was written. Ageing takes no NaN for an age, and nothing from the future; FuzzAge found that a start ahead of the clock kept a host cold until then.

--- a/internal/tablesig/tablesig_test.go
+++ b/internal/tablesig/tablesig_test.go
@@ -106,21 +106,13 @@
 	}
 }
 
+// Whatever is sent as a signature or a document, checking ends, and nobody gets through who has no key.
 func FuzzCheck(f *testing.F) {
-	s, cert := signer(f, elliptic.P256())
-	tables, _ := Canonical([]byte(`{"sheet":{}}`))
-	field, _ := s.Sign("p", "L-1", tables, time.Unix(1500, 0))
-	f.Add(field, `{"proxy":"p","tables":{"sheet":{}}}`)
+	f.Add("exp=2000; jws=eyJhbGciOiJFUzI1NiIsIng1YyI6WyJBQUFBIl19..AAAA", `{"proxy":"p","tables":{"sheet":{}}}`)
 	f.Add("exp=1; jws=..", `{}`)
 	f.Fuzz(func(t *testing.T, field, doc string) {
-		err := Check(field, "p", "L-1", []byte(doc), time.Unix(1000, 0), func(chain []*x509.Certificate) error {
-			if !chain[0].Equal(cert) {
-				return errors.New("a stranger")
-			}
-			return nil
-		})
-		if err == nil && !strings.Contains(doc, "sheet") {
-			t.Errorf("taken: %q", doc)
+		if Check(field, "p", "L-1", []byte(doc), time.Unix(1000, 0), func([]*x509.Certificate) error { return nil }) == nil {
+			t.Errorf("taken: %q %q", field, doc)
 		}
 	})
 }
--- a/state/age.go
+++ b/state/age.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"barleysail/state/statepb"
 )
@@ -16,9 +17,12 @@
 	Bound float64 // ms after which nothing is known
 }
 
+// soon is how far in the future an entry may lie, in ms: figures are noted a moment after the state's own time.
+const soon = 5000.0
+
 // left is what is left of knowledge of an age, 0 where it is unknown.
 func (f Fade) left(age float64) float64 {
-	if age >= f.Bound {
+	if !(age < f.Bound) || age < -soon { // no figure, too old, or not yet
 		return 0
 	}
 	return math.Exp2(-math.Max(age, 0) / f.Half)
@@ -129,10 +133,10 @@
 	}
 	for _, x := range s.Proxies {
 		p := &Proxy{Zone: x.Zone}
-		if now-x.At < l.Versions && x.Table != "" && tables[x.Table] != nil {
+		if recent(now-x.At, l.Versions) && x.Table != "" && tables[x.Table] != nil {
 			p.Tag, p.Tables = x.Tag, tables[x.Table]
 		}
-		if now-x.At < l.Demand {
+		if recent(now-x.At, l.Demand) && !slices.ContainsFunc(x.Rates, func(r float64) bool { return !(r >= 0 && r <= 1e9) }) {
 			p.Rates = x.Rates
 		}
 		if p.Tag != "" || p.Rates != nil {
@@ -145,6 +149,8 @@
 	return r
 }
 
+func recent(age, bound float64) bool { return age < bound && age >= -soon }
+
 func clamp(x, least, most float64) float64 {
 	if !(x >= least) {
 		return least
@@ -157,8 +163,8 @@
 func age(x *statepb.Host, now, median float64, l Limits) *Host {
 	h := &Host{Zone: x.Zone, Weight: 1, Trust: 1}
 	old := now - x.At
-	if x.Started > 0 && now < x.Started+l.Cold {
-		h.Started, h.known = x.Started, true
+	if x.Started > 0 && x.Started <= now+soon && now < x.Started+l.Cold { // one in the future would stay cold for as long
+		h.Started, h.known = math.Min(x.Started, now), true
 	}
 	if x.Drains > 0 && x.Drains <= now {
 		h.Drains, h.known = x.Drains, true
