--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -36,11 +36,12 @@
 	for i := range hosts {
 		list = append(list, steward.Entry{Host: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: "a", Phase: decide.Ready, Weight: 1})
 	}
-	text := base
+	text, service := base, `list { url: "http://127.0.0.1:1/" }`
 	if identities != "" {
+		service = `list { url: "https://127.0.0.1:1/" id: "` + domain + `/list" }`
 		text = strings.Replace(base, "plain_loopback: true", identities, 1)
 	}
-	cfg, err := config.Parse("bench", []byte(strings.ReplaceAll(strings.Replace(text, "channel {", "channel { messages_most: 0 ", 1), "1000000", "1000000000")+`list { url: "http://127.0.0.1:1/" } fleet { proxies: 5000 }
+	cfg, err := config.Parse("bench", []byte(strings.ReplaceAll(strings.Replace(text, "channel {", "channel { messages_most: 0 ", 1), "1000000", "1000000000")+service+` fleet { proxies: 5000 }
 		polls { leave_after_ms: 60000 }`))
 	if err != nil {
 		b.Fatal(err)
@@ -194,6 +195,54 @@
 	return s.Client(func(spiffeid.ID) error { return nil }), fmt.Sprintf(`workload_api: %q allow { id: "%s/forwarder/*" actions: "poll" }`, own.Address, domain)
 }
 
+// BenchmarkReturn has 600 forwarders come back to four stewards at once with cold caches, and measures the time until all hold tables, and
+// until a poll that was held before is told a drain, by how many handshakes may go on at once.
+func BenchmarkReturn(b *testing.B) {
+	for _, most := range []int{4, 32, 10000} {
+		b.Run(fmt.Sprint(most), func(b *testing.B) {
+			for range b.N {
+				secure, identities := provers(b)
+				d, list := runningAs(b, 400, identities+fmt.Sprintf(" handshakes: %d", most))
+				addresses := []string{d.Addr()}
+				for range 3 {
+					other, _ := runningAs(b, 400, identities+fmt.Sprintf(" handshakes: %d", most))
+					addresses = append(addresses, other.Addr())
+				}
+				first := pollersBy(b, d, 1, secure)[0]
+				first.ask("A-IM: merge-patch\r\nPrefer: wait=60\r\n")
+				for d.core.status().Polls < 1 {
+					time.Sleep(time.Millisecond)
+				}
+				var all sync.WaitGroup
+				began := time.Now()
+				for i := range 600 {
+					all.Add(1)
+					go func() {
+						defer all.Done()
+						c, err := tls.Dial("tcp", addresses[i%len(addresses)], secure)
+						if err != nil {
+							b.Error(err)
+							return
+						}
+						defer c.Close()
+						p := &poller{c: c, in: bufio.NewReaderSize(c, 512), name: 1000 + i}
+						p.ask("Prefer: wait=5\r\n")
+						if status, _, err := p.take(); status != 200 || err != nil {
+							b.Errorf("%d %v", status, err)
+						}
+					}()
+				}
+				list[7].Phase = decide.Draining
+				d.core.listed(list)
+				first.take()
+				b.ReportMetric(time.Since(began).Seconds()*1000, "ms-drain")
+				all.Wait()
+				b.ReportMetric(time.Since(began).Seconds()*1000, "ms-all")
+			}
+		})
+	}
+}
+
 // BenchmarkHeldPoll measures what a held poll costs in memory.
 func BenchmarkHeldPoll(b *testing.B) {
 	for range b.N {
--- a/internal/daemon/identity_test.go
+++ b/internal/daemon/identity_test.go
@@ -6,6 +6,8 @@
 	"crypto/x509"
 	"fmt"
 	"io"
+	"log"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -35,7 +37,7 @@
 	own    *issuer.Endpoint
 }
 
-func withIdentities(t *testing.T, inside string) *issued {
+func withIdentities(t *testing.T, inside string, list ...string) *issued {
 	t.Helper()
 	folder, err := os.MkdirTemp("", "id") // a socket's path has to be short
 	if err != nil {
@@ -56,7 +58,11 @@
 	text := strings.Replace(base, "plain_loopback: true", fmt.Sprintf(`workload_api: %q
 		allow { id: "%[2]s/forwarder/{zone}/{proxy}" actions: "poll" actions: "sums" } allow { id: "%[2]s/host/{host}" actions: "report" }
 		allow { id: "%[2]s/operator/*" actions: "see" actions: "set" } allow { id: "%[2]s/steward/*" actions: "follow" } %[3]s`, w.own.Address, domain, inside), 1)
-	if d.cfg, err = config.Parse("test", []byte(text+fmt.Sprintf(" list { file: %q }", d.list))); err != nil {
+	from := fmt.Sprintf(" list { file: %q }", d.list)
+	if len(list) > 0 {
+		from = list[0]
+	}
+	if d.cfg, err = config.Parse("test", []byte(text+from)); err != nil {
 		t.Fatal(err)
 	}
 	d.start()
@@ -648,3 +654,40 @@
 		t.Errorf("a steward that takes no tokens: %d", got)
 	}
 }
+
+// A list service proves itself to the steward and the steward to it; a list of a service with another name is not taken.
+func TestListServiceProvesItself(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	list := fmt.Sprintf(` list { url: "https://%s/hosts" id: "%s/list" wait_ms: 1000 }`, listener.Addr(), domain)
+	w := withIdentities(t, "", list)
+	as := func(id string) *issuer.SVID { return w.sign(t, w.root, domain+id, time.Hour, nil) }
+	e := w.endpoint(t, "list")
+	e.Give(as("/impostor"), []*issuer.Authority{w.root})
+	source := opened(t, e)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	changed := atomic.Bool{}
+	go source.Follow(ctx, func(bool) { changed.Store(true) })
+	asked := atomic.Pointer[string]{}
+	server := &http.Server{Handler: http.HandlerFunc(func(a http.ResponseWriter, q *http.Request) {
+		who := q.TLS.PeerCertificates[0].URIs[0].String()
+		asked.Store(&who)
+		a.Header().Set("ETag", `"1"`)
+		fmt.Fprint(a, `{"hosts":{"10.0.0.1:80":{"zone":"a"}}}`)
+	}), ErrorLog: log.New(io.Discard, "", 0)}
+	go server.Serve(tls.NewListener(listener, source.Server()))
+	t.Cleanup(func() { server.Close() })
+	until(t, "the impostor to be turned away", func() bool { return strings.Contains(w.log.String(), "not "+domain+"/list") })
+	if n := w.core.status().Hosts; n != 0 || asked.Load() != nil {
+		t.Errorf("%d hosts by the impostor", n)
+	}
+	e.Give(as("/list"), []*issuer.Authority{w.root})
+	until(t, "the list", func() bool { return w.core.status().Hosts == 1 })
+	if who := asked.Load(); who == nil || *who != domain+"/steward/one" {
+		t.Errorf("asked by %v", who)
+	}
+}
