Drop what nothing reads of intake, state and identities; one stream in the stand-in issuer

Read again: two reasons of dropping that nothing gave, a recalled rate and a bundle that nothing used, two names for forgetting a host, and the same streaming loop twice. Behaviour as before; the tests keep their assertions.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -57,9 +57,7 @@
 
 // Why a line was not taken in.
 const (
-	Flood   = "its source sent more than its share"
 	Full    = "more waited than may"
 	Aged    = "it was too old"
 	Unknown = "its host or proxy is gone"
-	Shed    = "the steward was behind"
 )
--- a/intake/trust.go
+++ b/intake/trust.go
@@ -119,12 +119,9 @@
 	}
 }
 
-// Forget drops what is known of a host.
+// Forget drops what is known of a host that is gone, or whose process is another one: what it reported is no more.
 func (t *Trust) Forget(name string) { delete(t.hosts, name) }
 
-// Restarted notes that a host's process is another one: what it reported is no more.
-func (t *Trust) Restarted(name string) { delete(t.hosts, name) }
-
 // Met notes what proxies met at a host.
 func (t *Trust) Met(now float64, l *Line) {
 	if l.Tries == 0 {
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/spiffe/go-spiffe/v2/bundle/x509bundle"
 	"github.com/spiffe/go-spiffe/v2/spiffeid"
 	"github.com/spiffe/go-spiffe/v2/spiffetls/tlsconfig"
 	"github.com/spiffe/go-spiffe/v2/svid/x509svid"
@@ -198,8 +197,3 @@
 
 // Ends is when the connection has to end.
 func (p *Peer) Ends() time.Time { return p.Until }
-
-// Bundle tells the roots of a trust domain as they stand, for status.
-func (s *Source) Bundle(domain spiffeid.TrustDomain) (*x509bundle.Bundle, error) {
-	return s.x.GetX509BundleForTrustDomain(domain)
-}
--- a/internal/standin/issuer/issuer.go
+++ b/internal/standin/issuer/issuer.go
@@ -135,25 +135,34 @@
 
 // FetchX509SVID streams what is handed out (SPIFFE Workload API, section 5.2).
 func (e *Endpoint) FetchX509SVID(_ *workload.X509SVIDRequest, out workload.SpiffeWorkloadAPI_FetchX509SVIDServer) error {
-	if err := secured(out.Context()); err != nil {
+	return e.stream(out.Context(), func() func() error {
+		r := &workload.X509SVIDResponse{FederatedBundles: e.others}
+		if e.svid == nil {
+			return nil
+		}
+		r.Svids = []*workload.X509SVID{{SpiffeId: e.svid.ID, X509Svid: e.svid.Cert, X509SvidKey: e.svid.Key, Bundle: e.bundle}}
+		return func() error { return out.Send(r) }
+	})
+}
+
+// stream sends what there is, and again after each change, until the caller goes. make is called under the lock and gives
+// what sends it; nil where there is nothing yet.
+func (e *Endpoint) stream(ctx context.Context, make func() func() error) error {
+	if err := secured(ctx); err != nil {
 		return err
 	}
 	for {
 		e.mu.Lock()
-		v, changed := e.svid, e.changed
-		r := &workload.X509SVIDResponse{FederatedBundles: e.others}
-		if v != nil {
-			r.Svids = []*workload.X509SVID{{SpiffeId: v.ID, X509Svid: v.Cert, X509SvidKey: v.Key, Bundle: e.bundle}}
-		}
+		send, changed := make(), e.changed
 		e.mu.Unlock()
-		if v != nil {
-			if err := out.Send(r); err != nil {
+		if send != nil {
+			if err := send(); err != nil {
 				return err
 			}
 		}
 		select {
 		case <-changed:
-		case <-out.Context().Done():
+		case <-ctx.Done():
 			return nil
 		}
 	}
@@ -212,22 +221,11 @@
 
 // FetchJWTBundles streams the keys (SPIFFE Workload API, section 6.2.3).
 func (e *Endpoint) FetchJWTBundles(_ *workload.JWTBundlesRequest, out workload.SpiffeWorkloadAPI_FetchJWTBundlesServer) error {
-	if err := secured(out.Context()); err != nil {
-		return err
-	}
-	for {
-		e.mu.Lock()
-		keys, changed := e.keys, e.changed
-		e.mu.Unlock()
-		if len(keys) > 0 {
-			if err := out.Send(&workload.JWTBundlesResponse{Bundles: keys}); err != nil {
-				return err
-			}
-		}
-		select {
-		case <-changed:
-		case <-out.Context().Done():
+	return e.stream(out.Context(), func() func() error {
+		keys := e.keys
+		if len(keys) == 0 {
 			return nil
 		}
-	}
+		return func() error { return out.Send(&workload.JWTBundlesResponse{Bundles: keys}) }
+	})
 }
--- a/state/age.go
+++ b/state/age.go
@@ -175,7 +175,6 @@
 		if x.R > 0 && x.R < 1e7 && median > 0 {
 			h.R = median + (x.R-median)*left
 		}
-		h.Rate = clamp(x.Rate, 0, 1e9) * left
 	}
 	if left := l.Failures.left(old); left > 0 {
 		h.known = true
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -117,7 +117,6 @@
 		for _, h := range r.Hosts {
 			within("weight", h.Weight, 0.05, 20)
 			within("r", h.R, 0, 2e7)
-			within("rate", h.Rate, 0, 1e9)
 			within("won", h.Won, 0, 1e6)
 			within("lost", h.Lost, 0, 1e6)
 			within("trust", h.Trust, 0, 1)
--- a/steward/list.go
+++ b/steward/list.go
@@ -166,7 +166,7 @@
 		}
 		h := s.hosts.index(e.Host)
 		if old := s.list.entries[e.Host]; started > 0 && started != old.Started {
-			s.intake.trust.Restarted(e.Host)
+			s.intake.trust.Forget(e.Host)
 		}
 		s.module.Entry(h, s.zone[e.Zone], e.Phase, s.weight(e), started)
 		s.list.entries[e.Host] = e
