Take and recall a state in one place each, and read kept tables by the check of offered ones

The state was taken and moved to the wall's clock in two places, one of which asked for the whole status under the lock to learn whether there was a list; it was aged, recorded and recalled in two places. Kept tables had a check of their own beside that of offers. The guard's check summed the demand up for each class and zone, and a checker was made for each use; the most lines that may wait stood apart from the channel. Behaviour as before; the tests keep their assertions.

--- a/guard/repair.go
+++ b/guard/repair.go
@@ -88,6 +88,7 @@
 // use would have none.
 func (m *mender) cleaned() [][]float64 {
 	w := m.v.with(m.v.next())
+	c := newChecker(w, m.l)
 	for i := range w.Rows {
 		r := &w.Rows[i]
 		if r.Fixed {
@@ -99,7 +100,7 @@
 			}
 		}
 		for _, u := range r.Uses {
-			if newChecker(w, m.l).able(r, u) {
+			if c.able(r, u) {
 				continue
 			}
 			all, n := 0.0, 0.0
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"fmt"
 	"math"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"barleysail/decide"
 	"barleysail/intake"
@@ -14,6 +16,7 @@
 	"barleysail/operator"
 	"barleysail/solver"
 	"barleysail/state"
+	"barleysail/state/statepb"
 	"barleysail/steward"
 )
 
@@ -168,15 +171,32 @@
 	})
 }
 
-// recall tells the steward what an earlier life knew, before anything else; nothing is decided yet.
-func (c *core) recall(r *state.Recalled, make func(now float64) *recordpb.Record) {
+// recall tells the steward what of a kept state may still be gone by, before anything else; nothing is decided yet.
+func (c *core) recall(kept *statepb.State, cold float64) (*state.Recalled, error) {
+	text, err := proto.Marshal(kept)
+	if err != nil {
+		return nil, fmt.Errorf("recalling a state: %w", err)
+	}
+	now := wallNow()
+	r := state.Age(kept, now, state.DefaultLimits(cold))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last = math.Max(c.clock.now(), c.last)
 	if c.rec != nil {
-		c.write(make(c.last))
+		c.write(record.Recall(c.last, text, now, cold))
 	}
 	c.steward.Recall(c.last, r)
+	return r, nil
+}
+
+// remember takes what the steward knows, with the wall clock's times; nil once it is stopped. listed tells whether it has
+// had a list yet.
+func (c *core) remember() (s *statepb.State, listed bool) {
+	c.do(func(now float64) { s, listed = c.steward.Remember(now), c.steward.ListKnown() })
+	if s != nil {
+		state.Shift(s, wallNow()-s.At)
+	}
+	return s, listed
 }
 
 func (c *core) listed(entries []steward.Entry) (err error) {
--- a/internal/daemon/following.go
+++ b/internal/daemon/following.go
@@ -38,12 +38,10 @@
 		return
 	}
 	f.looked = time.Now()
-	var now *statepb.State
-	f.core.do(func(at float64) { now = f.core.steward.Remember(at) })
+	now, _ := f.core.remember()
 	if now == nil {
 		return
 	}
-	state.Shift(now, wallNow()-now.At)
 	if n := len(f.states); n > 0 {
 		c := state.Diff(f.states[n-1], now)
 		if c == nil {
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -7,13 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
-	"barleysail/internal/record"
-	"barleysail/internal/record/recordpb"
 	"barleysail/internal/statefile"
-	"barleysail/state"
-	"barleysail/state/statepb"
 )
 
 // keeper keeps what the steward learned in a folder. A disk that is full, slow or broken costs what would be kept, never a
@@ -25,7 +20,6 @@
 	store   *statefile.Store
 	program string
 	every   time.Duration
-	wall    func() float64 // ms since 1970; not the clock that only advances
 
 	saving sync.Mutex
 	mu     sync.Mutex
@@ -43,6 +37,7 @@
 	Notes    string  `json:"found_note"` // what was wrong with the state that was found
 }
 
+// wallNow is ms since 1970, by the clock of the wall and not the one that only advances.
 func wallNow() float64 { return float64(time.Now().UnixMicro()) / 1000 }
 
 // openKeeper opens the folder and recalls what it holds.
@@ -51,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &keeper{core: c, log: log, folder: folder, program: program, every: every, wall: wallNow}
+	k := &keeper{core: c, log: log, folder: folder, program: program, every: every}
 	found, err := statefile.Load(folder)
 	if err != nil {
 		folder.Close()
@@ -65,14 +60,11 @@
 	if found.State == nil {
 		return k, nil
 	}
-	now := k.wall()
-	r := state.Age(found.State, now, state.DefaultLimits(cold))
-	text, err := proto.Marshal(found.State)
+	r, err := c.recall(found.State, cold)
 	if err != nil {
 		folder.Close()
 		return nil, err
 	}
-	c.recall(r, func(at float64) *recordpb.Record { return record.Recall(at, text, now, cold) })
 	log.Info().Str("life", r.Life).Float64("passed_ms", r.Passed).Int("hosts", len(r.Hosts)).Int("proxies", len(r.Proxies)).Str("why", r.Why).Msg("an earlier life is recalled")
 	return k, nil
 }
@@ -96,17 +88,11 @@
 	k.saving.Lock()
 	defer k.saving.Unlock()
 	began := time.Now()
-	var s *statepb.State
-	k.core.do(func(now float64) {
-		if k.core.steward.Status(now).ListAgeMs >= 0 {
-			s = k.core.steward.Remember(now)
-		}
-	})
+	s, listed := k.core.remember()
 	locked := time.Since(began)
-	if s == nil {
+	if !listed {
 		return
 	}
-	state.Shift(s, k.wall()-s.At)
 	s.Program = k.program
 	err := k.store.Save(s)
 	k.mu.Lock()
--- a/internal/daemon/standby.go
+++ b/internal/daemon/standby.go
@@ -9,11 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
 	"barleysail/internal/http1"
-	"barleysail/internal/record"
-	"barleysail/internal/record/recordpb"
 	"barleysail/standby"
 	"barleysail/state"
 	"barleysail/state/statepb"
@@ -149,10 +146,10 @@
 	if kept == nil {
 		kept = &statepb.State{}
 	}
-	now := wallNow()
-	r := state.Age(kept, now, state.DefaultLimits(s.cold))
-	if text, err := proto.Marshal(kept); err == nil {
-		s.core.recall(r, func(at float64) *recordpb.Record { return record.Recall(at, text, now, s.cold) })
+	r, err := s.core.recall(kept, s.cold)
+	if err != nil {
+		s.log.Error().Err(err).Msg("beginning without what the first knew")
+		r = &state.Recalled{}
 	}
 	if s.listed {
 		if err := s.core.listed(s.list); err != nil {
--- a/steward/channel.go
+++ b/steward/channel.go
@@ -20,6 +20,7 @@
 	until         float64 // when it has left
 	lines         float64 // that wait, heads included
 	peak          float64 // the most that ever did
+	mostWaiting   float64 // that may
 }
 
 // message is what waits for a proxy.
@@ -33,7 +34,7 @@
 }
 
 func newChannel(c decide.Channel) channel {
-	return channel{pace: c.LinesPerS / 1000, head: c.Head, price: c.Price, most: c.MessagesMost, over: c.MessagesOver,
+	return channel{pace: c.LinesPerS / 1000, head: c.Head, price: c.Price, mostWaiting: c.MostWaiting, most: c.MessagesMost, over: c.MessagesOver,
 		until: math.Inf(-1)}
 }
 
--- a/steward/refusing.go
+++ b/steward/refusing.go
@@ -160,7 +160,7 @@
 // pace tells whether the channel has room for lines of the guard's own to all proxies that use a table.
 func (s *Steward) pace(number int, lines float64, message bool) bool {
 	c := &s.channel
-	p := guard.Pace{Waiting: c.waiting(), MostWaiting: s.mostWaiting, MessagesMost: c.most}
+	p := guard.Pace{Waiting: c.waiting(), MostWaiting: c.mostWaiting, MessagesMost: c.most}
 	all := 0.0
 	for _, m := range s.members.byIndex {
 		if m == nil || !slices.Contains(m.tables, number) {
@@ -336,6 +336,7 @@
 	}
 	v := &guard.View{Hosts: slices.Clone(s.guardHosts())}
 	var names []string
+	demand := s.demand()
 	for _, class := range slices.Sorted(maps.Keys(tables)) {
 		k, ok := s.class[class]
 		if !ok {
@@ -352,7 +353,7 @@
 		r := guard.Row{Next: row}
 		for z, name := range s.fleet.Zones {
 			if zone == "" || zone == name {
-				r.Uses = append(r.Uses, guard.Use{Class: class, Zone: name, Local: s.classes[k].Local, Asked: s.demand()[class][name] * s.classes[k].Work / 1000})
+				r.Uses = append(r.Uses, guard.Use{Class: class, Zone: name, Local: s.classes[k].Local, Asked: demand[class][name] * s.classes[k].Work / 1000})
 				r.Now = s.publishedRow(z, k, len(v.Hosts))
 			}
 		}
--- a/steward/refusing_test.go
+++ b/steward/refusing_test.go
@@ -93,7 +93,7 @@
 	d, list, n := refusing(t, guard.Limits{Over: 1})
 	d.work(14, 22, n)
 	before := d.out("p")
-	d.mostWaiting = 10
+	d.channel.mostWaiting = 10
 	d.work(10, 10, n)
 	if after := d.out("p"); after != before {
 		t.Errorf("without room %s became %s", before, after)
@@ -168,7 +168,7 @@
 			}
 			for range 5 {
 				d.run(200)
-				if w := d.channel.waiting(); w > d.mostWaiting {
+				if w := d.channel.waiting(); w > d.channel.mostWaiting {
 					r.Fatalf("%g lines wait", w)
 				}
 				for _, m := range d.members.byIndex {
--- a/steward/remember.go
+++ b/steward/remember.go
@@ -8,6 +8,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 
 	"barleysail/decide"
 	"barleysail/operator"
@@ -110,7 +111,7 @@
 	if p.Tag == "" || !slices.Contains(tags, p.Tag) {
 		return
 	}
-	if v := s.recalledView(p.Tables); v != nil {
+	if v := s.recalledView(p.Tag, p.Tables); v != nil {
 		s.memory.versions++
 		s.inherit(m, p.Tag, v)
 	}
@@ -169,27 +170,22 @@
 	return v
 }
 
-// recalledView makes a view of kept tables; nil where they are of other classes.
-func (s *Steward) recalledView(tables []*statepb.Class) *View {
-	if len(tables) != len(s.classes) {
+// recalledView makes a view of kept tables; nil where they are of other classes, or cannot be.
+func (s *Steward) recalledView(tag string, kept []*statepb.Class) *View {
+	if len(kept) != len(s.classes) {
 		return nil
 	}
-	s.tables.views++
-	v := &View{id: s.tables.views}
-	for i, t := range tables {
-		if t.Name != s.classes[i].Name || len(t.Hosts) != len(t.Weights) || !slices.IsSorted(t.Hosts) {
+	o := &Offer{Tag: tag}
+	for i, t := range kept {
+		if t.Name != s.classes[i].Name {
 			return nil
 		}
-		c := classView{name: t.Name, bound: t.Ordered, level: level{t.Share, int(t.Tries), true}}
-		for k, host := range t.Hosts {
-			if !(t.Weights[k] > 0) || math.IsInf(t.Weights[k], 0) {
-				return nil
-			}
-			c.lines = append(c.lines, line{host, t.Weights[k]})
-		}
-		v.classes = append(v.classes, c)
+		o.Tables = append(o.Tables, Table{Class: t.Name, Ordered: t.Ordered, Hosts: t.Hosts, Weights: t.Weights, Share: t.Share, Tries: int(t.Tries)})
 	}
-	return v
+	if s.checkOffer(o) != nil {
+		return nil
+	}
+	return s.offeredView(o.Tables)
 }
 
 // recalledRate is what a proxy usually gets, by what it says or else by what was recalled of it.
@@ -205,6 +201,9 @@
 	return rate
 }
 
+// ListKnown tells whether a list has come yet: before, nothing was learned.
+func (s *Steward) ListKnown() bool { return s.list.known }
+
 // Remember gives what the next life may go by. Times in it are by the clock of the calls; the caller makes them those of
 // the wall.
 func (s *Steward) Remember(now float64) *statepb.State {
@@ -231,8 +230,9 @@
 		r.Hosts = append(r.Hosts, h)
 	}
 	s.rememberProxies(now, r)
-	for _, host := range slices.Sorted(maps.Keys(s.book.Sets())) {
-		set, _ := s.book.Set(host)
+	sets := s.book.Sets()
+	for _, host := range slices.Sorted(maps.Keys(sets)) {
+		set := sets[host]
 		x := &statepb.Setting{Host: host, State: int32(set.State), Weight: set.Weight, Part: set.Part, By: set.By, At: set.At, Until: set.Until}
 		if a := set.Added; a != nil {
 			x.Added = &statepb.Added{Zone: a.Zone, Weight: a.Weight, Cores: a.Cores, Speed: a.Speed, Started: a.Started}
@@ -263,12 +263,7 @@
 		}
 		r.Proxies = append(r.Proxies, p)
 	}
-	slices.SortFunc(r.Tables, func(a, b *statepb.Table) int {
-		if a.Id < b.Id {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(r.Tables, func(a, b *statepb.Table) int { return strings.Compare(a.Id, b.Id) })
 }
 
 // keep gives a view as it is kept; views that hold the same have the same id.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -86,22 +86,21 @@
 	tables  tables
 	channel channel
 
-	intake      reports
-	came        []float64 // of each class lately, for a proxy, a second
-	memory      memory
-	drained     map[string]float64 // since when hosts drain
-	solved      solved
-	guarding    guarding
-	multiple    float64
-	mostWaiting float64
-	book        *operator.Book
-	stepAt      float64 // when operators' orders are looked at next
-	grace       float64
-	cold        float64
-	moves       [][]Move // by host
-	events      events
-	answered    answers
-	out         Out // of the present call
+	intake   reports
+	came     []float64 // of each class lately, for a proxy, a second
+	memory   memory
+	drained  map[string]float64 // since when hosts drain
+	solved   solved
+	guarding guarding
+	multiple float64
+	book     *operator.Book
+	stepAt   float64 // when operators' orders are looked at next
+	grace    float64
+	cold     float64
+	moves    [][]Move // by host
+	events   events
+	answered answers
+	out      Out // of the present call
 
 	mode   string // the last line of the module
 	modeAt float64
@@ -124,7 +123,6 @@
 		Seed: fleet.Seed, Period: fleet.Period, Ejects: fleet.Ejects, UsualTries: fleet.UsualTries,
 		Admits: fleet.Admits, MayProbe: fleet.MayProbe, MustAsk: fleet.MustAsk}, known, channel, guard, goal)
 	s.book, s.stepAt, s.grace, s.cold, s.multiple = operator.New(), math.Inf(1), guard.Grace, guard.Cold, guard.FallMultiple
-	s.mostWaiting = channel.MostWaiting
 	s.hosts, s.list, s.members = newIndices(), newList(), newMembers()
 	s.tables = newTables(len(classes), fleet.UsualTries)
 	s.channel = newChannel(channel)
