--- a/cmd/barleysail/main.go
+++ b/cmd/barleysail/main.go
@@ -16,7 +16,7 @@
 func main() {
 	root := &cobra.Command{Use: "barleysail", Short: "A control service that publishes weighted tables to plain proxies",
 		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{}}
-	root.AddCommand(runCommand(), rehearseCommand(), replayCommand(), daysCommand(), solveCommand(), planCommand(), stateCommand(), authCommand(), configCommand(), &cobra.Command{Use: "version", Short: "Print the version",
+	root.AddCommand(runCommand(), nodeCommand(), rehearseCommand(), replayCommand(), daysCommand(), solveCommand(), planCommand(), stateCommand(), authCommand(), configCommand(), &cobra.Command{Use: "version", Short: "Print the version",
 		Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "barleysail", version) }})
 	root.AddCommand(operators()...)
 	if err := root.ExecuteContext(context.Background()); err != nil {
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,103 @@
+// Package platform puts the steward into service on the users' platform: proxies and collectors come on streams of RESP2
+// messages, the host list is watched and hosts are probed over HTTP/1.1. It only carries; every decision is package
+// decide's, which it drives one round a step.
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"barleysail/internal/wire"
+)
+
+// Limits are what the machine leaves the steward.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is what a steward is told as it starts.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Limits                  Limits
+	Known                   list
+	Settings                *wire.Settings
+	Step                    time.Duration // the least time between rounds
+	DialMost, AnswerMost    time.Duration // for a probe: until it stands, until it is answered
+}
+
+// defaultStep and defaultDial hold where the settings say nothing.
+const (
+	defaultStep = 5 * time.Millisecond
+	defaultDial = 400 * time.Millisecond
+)
+
+// LoadConfig reads and checks the configuration.
+func LoadConfig(file string) (*Config, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", file, err)
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte) (*Config, error) {
+	var raw struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        Limits
+		Known                         list
+		Settings                      json.RawMessage
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return nil, err
+	}
+	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits, Known: raw.Known}
+	for what, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, fmt.Errorf("%s is no address: %w", what, err)
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if l := c.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 || math.IsNaN(l.Cores) {
+		return nil, fmt.Errorf("limits: a figure is below 0")
+	}
+	if c.Settings, err = wire.ReadSettings(raw.Settings); err != nil {
+		return nil, err
+	}
+	var more struct {
+		StepUs float64
+		Limits struct{ DialTimeoutUs float64 }
+	}
+	if err := json.Unmarshal(raw.Settings, &more); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c.Step, c.DialMost = defaultStep, defaultDial
+	if more.StepUs > 0 {
+		c.Step = time.Duration(more.StepUs * 1e3)
+	}
+	if more.Limits.DialTimeoutUs > 0 {
+		c.DialMost = time.Duration(more.Limits.DialTimeoutUs * 1e3)
+	}
+	// A probe is served like a transaction: one that has not been answered in half of the shortest due time shows a
+	// host that would hardly keep it.
+	due := math.Inf(1)
+	for _, s := range c.Settings.Services {
+		due = math.Min(due, *s.AimUs)
+	}
+	c.AnswerMost = max(time.Duration(due/2*1e3), c.DialMost)
+	return c, nil
+}
--- /dev/null
+++ b/internal/platform/messages.go
@@ -0,0 +1,185 @@
+package platform
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"barleysail/decide"
+	"barleysail/internal/instance"
+	"barleysail/internal/wire"
+)
+
+// fields of a message, by name.
+type fields map[string]string
+
+// fieldsOf takes the names and values that follow a message's kind; each name stands once.
+func fieldsOf(words []string) (fields, error) {
+	if len(words)%2 != 1 {
+		return nil, fmt.Errorf("%d words", len(words))
+	}
+	f := make(fields, len(words)/2)
+	for i := 1; i < len(words); i += 2 {
+		if _, twice := f[words[i]]; twice {
+			return nil, fmt.Errorf("%.20q stands twice", words[i])
+		}
+		f[words[i]] = words[i+1]
+	}
+	return f, nil
+}
+
+func (f fields) whole(name string, most int) (int, error) {
+	v, err := strconv.ParseUint(f[name], 10, 63)
+	if err != nil || v > uint64(most) {
+		return 0, fmt.Errorf("%s is %.20q", name, f[name])
+	}
+	return int(v), nil
+}
+
+func (f fields) number(name string, most float64) (float64, error) {
+	v, err := strconv.ParseFloat(f[name], 64)
+	if err != nil || !(v >= 0 && v <= most) {
+		return 0, fmt.Errorf("%s is %.20q", name, f[name])
+	}
+	return v, nil
+}
+
+// bounds are what a good report stays within. One that does not is spoilt: it would put a host's figures off for long.
+type bounds struct {
+	perMs  float64 // tries or transactions a millisecond
+	meanMs float64
+	spanMs float64
+	proxy  int
+}
+
+const (
+	triesPerMs = 1000.0 // by all proxies of a zone at a host
+	spanMost   = 600e3
+	utilMost   = 4.0 // reports are noisy
+	markMost   = 65535
+	weightMost = 1e6
+)
+
+func boundsOf(s *wire.Settings) bounds {
+	b := bounds{perMs: triesPerMs, spanMs: spanMost, proxy: *s.FamilyInfo.DataPlaneSize - 1}
+	for _, c := range s.Services { // what was fulfilled took no longer than patience, give or take noise
+		b.meanMs = math.Max(b.meanMs, 2**c.HardLimitUs/1000)
+	}
+	return b
+}
+
+// report is what a message of a collector or proxy says, checked against the bounds and the names that are known.
+type report struct {
+	host, tries, failed, proxy, class int
+	mean, span                        float64
+	load                              decide.Load
+}
+
+func (b bounds) counted(f fields, r *report) (err error) {
+	if r.span, err = f.number("span_ms", b.spanMs); err != nil {
+		return err
+	}
+	if r.span == 0 {
+		return fmt.Errorf("span_ms is 0")
+	}
+	most := int(r.span*b.perMs) + 1
+	if r.tries, err = f.whole("tries", most); err != nil {
+		return err
+	}
+	r.failed, err = f.whole("failed", r.tries)
+	return err
+}
+
+// hostReport reads a LOAD.
+func (b bounds) hostReport(f fields, inst *instance.Instance) (r report, err error) {
+	if _, ok := inst.Zone(f["zone"]); !ok {
+		return r, fmt.Errorf("zone is %.20q", f["zone"])
+	}
+	var ok bool
+	if r.host, ok = inst.Known(f["server"]); !ok {
+		return r, fmt.Errorf("server is %.20q", f["server"])
+	}
+	if err = b.counted(f, &r); err != nil {
+		return r, err
+	}
+	if r.mean, err = f.number("mean_ms", b.meanMs); err != nil {
+		return r, err
+	}
+	r.load = decide.NoLoad
+	if text, there := f["load"]; there && text != "" {
+		r.load, err = readLoad(text)
+	}
+	return r, err
+}
+
+// readLoad reads pairs of names and values.
+func readLoad(text string) (decide.Load, error) {
+	values := map[string]float64{}
+	for _, pair := range strings.Split(text, ",") {
+		name, figure, _ := strings.Cut(pair, ":")
+		v, err := strconv.ParseFloat(figure, 64)
+		if err != nil || name == "" || !inRange(name, v) {
+			return decide.NoLoad, fmt.Errorf("load holds %.30q", pair)
+		}
+		values[name] = v
+	}
+	return loadOf(func(name string) (float64, bool) { v, ok := values[name]; return v, ok }), nil
+}
+
+func inRange(name string, v float64) bool {
+	return v >= 0 && v < 1e9 && (name != "util" || v <= utilMost)
+}
+
+// loadOf makes a load report of the values that are there and in range.
+func loadOf(value func(name string) (float64, bool)) decide.Load {
+	return instance.Load(func(name string) float64 {
+		if v, ok := value(name); ok && inRange(name, v) {
+			return v
+		}
+		return -1
+	})
+}
+
+// usage reads a RATE.
+func (b bounds) usage(f fields, inst *instance.Instance) (r report, err error) {
+	if r.proxy, err = f.whole("proxy", b.proxy); err != nil {
+		return r, err
+	}
+	var ok bool
+	if r.class, ok = inst.Class(f["class"]); !ok {
+		return r, fmt.Errorf("class is %.20q", f["class"])
+	}
+	return r, b.counted(f, &r)
+}
+
+// joining reads a SUBSCRIBE.
+func (b bounds) joining(f fields, inst *instance.Instance) (proxy, zone int, weight float64, err error) {
+	if proxy, err = f.whole("proxy", b.proxy); err != nil {
+		return
+	}
+	var ok bool
+	if zone, ok = inst.Zone(f["zone"]); !ok {
+		err = fmt.Errorf("zone is %.20q", f["zone"])
+		return
+	}
+	if weight, err = f.number("weight", weightMost); err != nil {
+		return
+	}
+	if fresh := f["fresh"]; fresh != "0" && fresh != "1" {
+		err = fmt.Errorf("fresh is %.20q", fresh)
+	}
+	return
+}
+
+// answer reads an ACK.
+func (b bounds) answer(f fields) (proxy, mark int, err error) {
+	if proxy, err = f.whole("proxy", b.proxy); err != nil {
+		return
+	}
+	if mark, err = f.whole("mark", markMost); err != nil {
+		return
+	}
+	_, err = f.number("took_ms", spanMost)
+	return
+}
--- /dev/null
+++ b/internal/platform/node.go
@@ -0,0 +1,283 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"iter"
+	"maps"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"barleysail/internal/http1"
+	"barleysail/internal/instance"
+)
+
+const (
+	noteMost      = 1024 // what came in and waits for the owner
+	collectorMost = 3    // streams of one zone's collector: an old one may not have been seen to end
+	ownFiles      = 24   // descriptors of the runtime, the logs, the listener, the list
+	probesMost    = 32
+	strangersMin  = 8
+	strangersMax  = 256
+	tellEvery     = 5000.0 // ms between lines on spoilt messages
+)
+
+// Node is a steward in service.
+type Node struct {
+	config *Config
+	log    zerolog.Logger
+	inst   *instance.Instance
+	orders *orders
+	bounds bounds
+	door   *door
+	list   *watcher
+	prober *http1.Client
+	probes chan struct{} // held by those that go on
+	notes  chan func()
+	done   chan struct{}
+
+	origin time.Time // the clock's reading at the start
+
+	// What follows is the owner's.
+	streams    map[int]*stream
+	collectors map[int][]*stream
+	address    map[int]string // of hosts
+	wakeAt     float64
+	odd        atomic.Int64
+	oddAt      atomic.Int64
+}
+
+// writer is the decide.Writer of a node: what is not for proxies is done at once.
+type writer struct {
+	*orders
+	node *Node
+	ctx  context.Context
+}
+
+func (w *writer) Wake(at float64) { w.node.wakeAt = at }
+
+// Watch asks for nothing: the list is followed from the start.
+func (w *writer) Watch() {}
+
+func (w *writer) Log(text string) { w.node.log.Info().Msg(text) }
+
+func (w *writer) Probe(host int) {
+	n, address := w.node, w.node.address[host]
+	go func() {
+		select {
+		case n.probes <- struct{}{}:
+			defer func() { <-n.probes }()
+			n.probe(w.ctx, host, address)
+		case <-w.ctx.Done():
+		}
+	}()
+}
+
+// Apply sets the process by the machine's limits.
+func (l Limits) Apply() {
+	runtime.GOMAXPROCS(max(1, int(l.Cores)))
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(l.MemoryMB * 0.6 * (1 << 20)))
+	}
+}
+
+// New makes a node.
+func New(c *Config, log zerolog.Logger) (*Node, error) {
+	inst, err := instance.New(c.Settings, c.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("starting the module: %w", err)
+	}
+	n := &Node{config: c, log: log, inst: inst, bounds: boundsOf(c.Settings), prober: &http1.Client{Idle: -1},
+		notes: make(chan func(), noteMost), done: make(chan struct{}), origin: time.Now(),
+		streams: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}}
+	proxies := *c.Settings.FamilyInfo.DataPlaneSize
+	hosts := len(c.Known.Instances)
+	n.probes = make(chan struct{}, min(max(hosts, 4), probesMost))
+	strangers := strangersMax
+	if c.Limits.Sockets > 0 {
+		spare := c.Limits.Sockets - proxies - collectorMost*len(c.Settings.FailureDomains) - cap(n.probes) - ownFiles
+		strangers = min(max(spare, strangersMin), strangersMax)
+	}
+	n.door = &door{most: strangers}
+	var names []string
+	for _, s := range c.Settings.Services {
+		names = append(names, s.Name)
+	}
+	n.orders = newOrders(names, inst.ID, func() iter.Seq[int] { return maps.Keys(n.streams) })
+	n.list = newWatcher(log, func(l list) { n.put(func() { n.note(l, false) }) })
+	return n, nil
+}
+
+// Run serves until the context ends; moved brings newer addresses of the list.
+func (n *Node) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", n.config.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	defer l.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.log.Info().Str("name", n.config.Name).Stringer("listen", l.Addr()).Int("strangers", n.door.most).
+		Float64("cores", n.config.Limits.Cores).Float64("memory_mb", n.config.Limits.MemoryMB).Int("sockets", n.config.Limits.Sockets).Msg("in service")
+	known := n.config.Known
+	known.Reset = true
+	n.note(known, true)
+	n.config.Known = list{}
+	go n.list.run(ctx, n.config.Discovery)
+	go func() {
+		if err := n.accept(ctx, l); err != nil {
+			n.log.Error().Err(err).Msg("accept")
+		}
+	}()
+	n.own(ctx)
+	close(n.done)
+	return nil
+}
+
+// Move follows the list at another address.
+func (n *Node) Move(address string) { n.list.move(address) }
+
+// put gives the owner something to note; it waits where too much does.
+func (n *Node) put(f func()) {
+	select {
+	case n.notes <- f:
+	case <-n.done:
+	}
+}
+
+// now is Unix time in ms, by the clock at the start and what has passed since.
+func (n *Node) now() float64 {
+	return float64(n.origin.UnixMicro())/1000 + float64(time.Since(n.origin).Microseconds())/1000
+}
+
+// own is the one goroutine that owns the module. What comes in gathers for a step, then a round decides on all of it.
+func (n *Node) own(ctx context.Context) {
+	w := &writer{n.orders, n, ctx}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-n.notes:
+			f()
+			timer.Reset(n.config.Step)
+			for gathering := true; gathering; {
+				select {
+				case f := <-n.notes:
+					f()
+				case <-timer.C:
+					gathering = false
+				case <-ctx.Done():
+					return
+				}
+			}
+		case <-timer.C:
+		}
+		now := n.now()
+		n.inst.Round(now, w)
+		n.orders.flush(func(p int, message []byte, mark int) {
+			s := n.streams[p]
+			if s == nil {
+				return
+			}
+			if mark != 0 {
+				s.sent = append(s.sent, stamp{mark, now})
+			}
+			s.send(message)
+		})
+		timer.Reset(time.Duration(max(n.wakeAt-n.now(), 0) * 1e6))
+	}
+}
+
+// join begins a proxy's stream; an earlier one of the same proxy is over.
+func (n *Node) join(s *stream, zone int, weight float64) {
+	if was := n.streams[s.proxy]; was != nil {
+		was.end()
+	}
+	n.streams[s.proxy] = s
+	n.orders.forget(s.proxy)
+	n.inst.Joined(s.proxy, zone, weight)
+}
+
+func (n *Node) leave(s *stream) {
+	if n.streams[s.proxy] == s {
+		delete(n.streams, s.proxy)
+		n.orders.forget(s.proxy)
+		n.inst.Left(s.proxy)
+	}
+}
+
+func (n *Node) collect(s *stream, zone int) {
+	if all := n.collectors[zone]; len(all) >= collectorMost {
+		all[0].end()
+	}
+	n.collectors[zone] = append(n.collectors[zone], s)
+}
+
+func (n *Node) uncollect(s *stream, zone int) {
+	n.collectors[zone] = slices.DeleteFunc(n.collectors[zone], func(c *stream) bool { return c == s })
+}
+
+// take notes a message of a stream that has joined.
+func (n *Node) take(s *stream, kind string, f fields) error {
+	switch kind {
+	case "LOAD":
+		r, err := n.bounds.hostReport(f, n.inst)
+		if err != nil {
+			return err
+		}
+		n.inst.Heard(r.host, r.tries, r.failed, r.mean, r.span, r.load)
+	case "RATE":
+		r, err := n.bounds.usage(f, n.inst)
+		if err != nil {
+			return err
+		}
+		if s.proxy >= 0 && s.proxy != r.proxy {
+			return fmt.Errorf("proxy is %d on the stream of %d", r.proxy, s.proxy)
+		}
+		n.inst.Usage(r.proxy, r.class, r.tries, r.span)
+	case "ACK":
+		proxy, mark, err := n.bounds.answer(f)
+		if err != nil {
+			return err
+		}
+		if s.proxy < 0 || proxy != s.proxy {
+			return fmt.Errorf("proxy is %d on the stream of %d", proxy, s.proxy)
+		}
+		return n.answered(s, mark)
+	default:
+		return fmt.Errorf("not a report")
+	}
+	return nil
+}
+
+// answered notes the answer to a mark, and with it the answers to all marks sent before that are missing: streams keep
+// their order, and an answer may come spoilt.
+func (n *Node) answered(s *stream, mark int) error {
+	at := slices.IndexFunc(s.sent, func(t stamp) bool { return t.number == mark })
+	if at < 0 {
+		return fmt.Errorf("mark %d does not wait for an answer", mark)
+	}
+	if n.streams[s.proxy] == s {
+		for _, t := range s.sent[:at+1] {
+			n.inst.Answered(t.number)
+		}
+	}
+	s.sent = slices.Delete(s.sent, 0, at+1)
+	return nil
+}
+
+// spoilt counts a message that was passed over, and says so now and then.
+func (n *Node) spoilt(kind string, err error) {
+	count, now := n.odd.Add(1), int64(n.now())
+	if at := n.oddAt.Load(); float64(now-at) >= tellEvery && n.oddAt.CompareAndSwap(at, now) {
+		n.log.Info().Str("kind", kind[:min(len(kind), 20)]).Err(err).Int64("so_far", count).Msg("spoilt message passed over")
+	}
+}
--- /dev/null
+++ b/internal/platform/streams.go
@@ -0,0 +1,233 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"barleysail/internal/resp"
+)
+
+const (
+	joinMost     = 1500 * time.Millisecond // for a connection to join: a client owes its first message within 1 s
+	crowdLeast   = 150 * time.Millisecond  // that each gets, however many come
+	strangerMost = 4 << 10                 // bytes of a message before the joining
+	messageMost  = 1 << 20
+	wordsMost    = 256
+	pingsMost    = 32
+	queuedMost   = 512 << 10 // bytes that may wait for a stream
+	writeMost    = 5 * time.Second
+)
+
+var pong = resp.Append(nil, "PONG")
+
+// stream is a connection that takes messages. Its queue is emptied by a goroutine that lasts as long as something waits,
+// so that no slow peer holds up another.
+type stream struct {
+	net.Conn
+	mu      sync.Mutex
+	queue   net.Buffers
+	queued  int
+	writing bool
+	closed  bool
+
+	proxy int     // what follows is the owner's: -1 for a collector
+	sent  []stamp // marks not yet answered
+}
+
+type stamp struct {
+	number int
+	at     float64
+}
+
+// send queues bytes, and ends the connection where too many wait.
+func (s *stream) send(b []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	if s.queued+len(b) > queuedMost {
+		s.closed = true
+		s.Conn.Close()
+		return
+	}
+	s.queue, s.queued = append(s.queue, b), s.queued+len(b)
+	if !s.writing {
+		s.writing = true
+		go s.drain()
+	}
+}
+
+func (s *stream) drain() {
+	for {
+		s.mu.Lock()
+		queue, n := s.queue, s.queued
+		s.queue = nil
+		if n == 0 || s.closed {
+			s.writing = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		s.SetWriteDeadline(time.Now().Add(writeMost))
+		_, err := queue.WriteTo(s.Conn)
+		s.mu.Lock()
+		s.queued -= n
+		s.mu.Unlock()
+		if err != nil {
+			s.end()
+		}
+	}
+}
+
+func (s *stream) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.Conn.Close()
+}
+
+// door keeps the connections that have not joined, oldest first. They may take what descriptors the joined ones and our
+// own calls leave; who is too many ends the oldest.
+type door struct {
+	mu      sync.Mutex
+	waiting []*stream
+	since   []time.Time
+	most    int
+}
+
+// admit takes in a connection, after the oldest one had its least time.
+func (d *door) admit(ctx context.Context, s *stream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(d.waiting) >= d.most {
+		rest := crowdLeast - time.Since(d.since[0])
+		if rest > 0 {
+			d.mu.Unlock()
+			select {
+			case <-ctx.Done():
+			case <-time.After(min(rest, 5*time.Millisecond)):
+			}
+			d.mu.Lock()
+			if ctx.Err() != nil {
+				return
+			}
+			continue
+		}
+		d.waiting[0].end()
+		d.waiting, d.since = d.waiting[1:], d.since[1:]
+	}
+	d.waiting, d.since = append(d.waiting, s), append(d.since, time.Now())
+}
+
+// leave takes a connection off the list: it has joined or ended.
+func (d *door) leave(s *stream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, w := range d.waiting {
+		if w == s {
+			d.waiting, d.since = append(d.waiting[:i:i], d.waiting[i+1:]...), append(d.since[:i:i], d.since[i+1:]...)
+			return
+		}
+	}
+}
+
+// accept takes connections until the listener is closed.
+func (n *Node) accept(ctx context.Context, l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // out of descriptors, most likely: strangers end meanwhile
+			n.log.Warn().Err(err).Msg("accept")
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(20 * time.Millisecond):
+			}
+			continue
+		}
+		s := &stream{Conn: c, proxy: -1}
+		n.door.admit(ctx, s)
+		go n.serve(ctx, s)
+	}
+}
+
+// serve reads a connection: first its joining, then what it reports.
+func (n *Node) serve(ctx context.Context, s *stream) {
+	defer s.end()
+	r := resp.NewReader(s.Conn)
+	s.SetReadDeadline(time.Now().Add(joinMost))
+	kind, f := n.greet(r, s)
+	n.door.leave(s)
+	switch kind {
+	case "SUBSCRIBE":
+		proxy, zone, weight, err := n.bounds.joining(f, n.inst)
+		if err != nil {
+			n.spoilt("SUBSCRIBE", err)
+			return
+		}
+		s.proxy = proxy
+		n.put(func() { n.join(s, zone, weight) })
+		defer n.put(func() { n.leave(s) })
+	case "SOURCE":
+		zone, ok := n.inst.Zone(f["zone"])
+		if !ok {
+			return
+		}
+		n.put(func() { n.collect(s, zone) })
+		defer n.put(func() { n.uncollect(s, zone) })
+	default:
+		return
+	}
+	s.SetReadDeadline(time.Time{})
+	var words []string
+	for {
+		var err error
+		if words, err = r.Read(words, resp.Limits{Words: wordsMost, Bytes: messageMost}); err != nil {
+			n.log.Debug().Err(err).Int("proxy", s.proxy).Msg("a stream ends")
+			return
+		}
+		if len(words) == 1 && words[0] == "PING" {
+			s.send(pong)
+			continue
+		}
+		if len(words) == 0 {
+			continue
+		}
+		kind := words[0]
+		f, err := fieldsOf(words)
+		n.put(func() {
+			if err == nil {
+				err = n.take(s, kind, f)
+			}
+			if err != nil {
+				n.spoilt(kind, err)
+			}
+		})
+	}
+}
+
+// greet reads until the connection joins; signs of life are given on the way. An empty kind ends the connection.
+func (n *Node) greet(r *resp.Reader, s *stream) (kind string, f fields) {
+	var words []string
+	for range pingsMost {
+		var err error
+		if words, err = r.Read(words, resp.Limits{Words: 16, Bytes: strangerMost}); err != nil || len(words) == 0 {
+			return "", nil
+		}
+		if len(words) == 1 && words[0] == "PING" {
+			s.send(pong)
+			continue
+		}
+		if f, err = fieldsOf(words); err != nil {
+			return "", nil
+		}
+		return words[0], f
+	}
+	return "", nil
+}
