Take usage reports in which more transactions failed than came; trace beliefs at debug level

Seen: 'spoilt message' lines for RATE with failed over tries on calm streams; a transaction fails later than it comes, so the check in messages.go was wrong for usage. Trace of what the module believes of each host, once a second at debug level.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -66,6 +66,9 @@
 	return i, ok
 }
 
+// Hosts counts the hosts met so far.
+func (n *Instance) Hosts() int { return len(n.hosts) }
+
 // ID is the id of a host.
 func (n *Instance) ID(host int) string { return n.hosts[host] }
 
--- a/internal/platform/messages.go
+++ b/internal/platform/messages.go
@@ -87,7 +87,7 @@
 	if r.tries, err = f.whole("tries", most); err != nil {
 		return err
 	}
-	r.failed, err = f.whole("failed", r.tries)
+	r.failed, err = f.whole("failed", most)
 	return err
 }
 
@@ -103,6 +103,9 @@
 	if err = b.counted(f, &r); err != nil {
 		return r, err
 	}
+	if r.failed > r.tries {
+		return r, fmt.Errorf("failed is %d of %d", r.failed, r.tries)
+	}
 	if r.mean, err = f.number("mean_ms", b.meanMs); err != nil {
 		return r, err
 	}
@@ -141,7 +144,7 @@
 	})
 }
 
-// usage reads a RATE.
+// usage reads a RATE. Transactions that failed may have come in the span before: more may fail than came.
 func (b bounds) usage(f fields, inst *instance.Instance) (r report, err error) {
 	if r.proxy, err = f.whole("proxy", b.proxy); err != nil {
 		return r, err
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -49,6 +49,7 @@
 	collectors map[int][]*stream
 	address    map[int]string // of hosts
 	wakeAt     float64
+	tracedAt   float64
 	odd        atomic.Int64
 	oddAt      atomic.Int64
 }
@@ -192,6 +193,7 @@
 			}
 			s.send(message)
 		})
+		n.trace(now)
 		timer.Reset(time.Duration(max(n.wakeAt-n.now(), 0) * 1e6))
 	}
 }
