Count only ready hosts in what thins out cold ones; believe no reset probe

The trace shows thin = weight of warm lines over all ever listed, gone hosts among them (heat in decide.go): after ten replacements of thirty hosts it was 0.38. Now ready hosts count; where none is warm the old sum stays.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -498,18 +498,19 @@
 // have, and until sums show our own first orders nobody knows how the fleet fares under them. Where no
 // ready server is warm, the cold ones together must bear the traffic.
 func (s *Steward) heat(ejects, multiple float64) bool {
-	warm, able, all, held := false, 0.0, 0.0, 0.0
+	warm, able, all, ready, held := false, 0.0, 0.0, 0.0, 0.0
 	for _, h := range s.order {
 		v := &s.servers[h]
 		all += v.listed
 		if v.phase == Ready {
-			able += v.listed * s.warmth(v, s.guard)
+			able, ready = able+v.listed*s.warmth(v, s.guard), ready+v.listed
 			if s.warmth(v, s.guard) >= 1 {
 				warm, held = true, held+v.told
 			}
 		}
 	}
-	if s.thin = math.Min(1, held/math.Max(all, 1e-9)); !warm {
+	// Hosts that are gone count only where none is warm: a fleet replaced host by host lists ever more of them.
+	if s.thin = math.Min(1, held/math.Max(ready, 1e-9)); !warm {
 		s.thin = 1
 		return able*multiple >= coldOnlyPart*all
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -430,3 +430,27 @@
 	b.Round(b.now, b)
 	b.check(t)
 }
+
+// A fleet is replaced host by host under new ids: what is gone must not thin out what a cold host gets.
+func TestReplacedFleet(t *testing.T) {
+	set := plain()
+	set.MayProbe = false
+	b := start(set, 4)
+	sums := map[int][3]float64{}
+	for h := range 4 {
+		sums[h] = [3]float64{20, 0, 100}
+	}
+	b.run(12000, sums)
+	for h := range 4 {
+		delete(sums, h)
+		b.ListChange()
+		b.Entry(h, h%2, Draining, 1, 0)
+		b.Entry(h+4, h%2, Ready, 1, b.now)
+		b.run(2000, sums)
+		b.ListChange()
+		b.Entry(h, h%2, Gone, 1, 0)
+		sums[h+4] = [3]float64{20, 0, 100}
+		b.run(12000, sums)
+	}
+	b.check(t)
+}
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -39,6 +40,7 @@
 	listMost   = time.Second            // for the whole list
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	resetMost  = 3 // calls of a probe: a network that resets connections says nothing of the host
 )
 
 // watcher follows the list at an address that may change.
@@ -161,33 +163,41 @@
 
 // probe asks a host how it is, and notes the outcome.
 func (n *Node) probe(ctx context.Context, h int, address string) {
-	how, load := examine(ctx, n.prober, address, n.config.DialMost, n.config.AnswerMost)
+	began := time.Now()
+	how, load, err := examine(ctx, n.prober, address, n.config.AnswerMost)
+	if err != nil {
+		n.log.Debug().Int("host", h).Int("outcome", int(how)).Dur("took", time.Since(began)).Err(err).Msg("probe")
+	}
 	n.put(func() { n.inst.Probed(h, how, load) })
 }
 
-// examine probes a host: nothing there is told from one that is there, or out of reach, and says nothing.
-func examine(ctx context.Context, c *http1.Client, address string, dialMost, most time.Duration) (decide.Outcome, decide.Load) {
-	if address == "" {
-		return decide.Unreachable, decide.NoLoad
-	}
+// examine probes a host: only a refused connection proves that nothing is there. A reset one may be the network's doing,
+// so it is tried again: a process that has just ended refuses then. The error says why a probe was not fine.
+func examine(ctx context.Context, c *http1.Client, address string, most time.Duration) (decide.Outcome, decide.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
-	r, err := c.Call(ctx, "GET", address, "/_load", http1.Header("Connection", "close"))
-	var late net.Error
+	var r *http1.Response
+	var err error
+	for range resetMost {
+		r, err = c.Call(ctx, "GET", address, "/_load", http1.Header("Connection", "close"))
+		if err == nil || ctx.Err() != nil || errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+	}
 	switch {
-	case ctx.Err() != nil, errors.As(err, &late) && late.Timeout():
-		return decide.Silent, decide.NoLoad
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return decide.Unreachable, decide.NoLoad, err
 	case err != nil:
-		return decide.Unreachable, decide.NoLoad
+		return decide.Silent, decide.NoLoad, err
 	case r.Status != 200:
-		return decide.Refused, decide.NoLoad
+		return decide.Refused, decide.NoLoad, fmt.Errorf("answered %d", r.Status)
 	}
 	var values map[string]json.RawMessage
 	if json.Unmarshal(r.Body, &values) != nil {
-		return decide.Fine, decide.NoLoad
+		return decide.Fine, decide.NoLoad, nil
 	}
 	return decide.Fine, loadOf(func(name string) (float64, bool) {
 		v, err := strconv.ParseFloat(string(values[name]), 64)
 		return v, err == nil
-	})
+	}), nil
 }
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -26,6 +26,11 @@
 	strangersMin  = 8
 	strangersMax  = 256
 	tellEvery     = 5000.0 // ms between lines on spoilt messages
+
+	listenEvery = 500.0   // ms between looks for silent streams
+	silentLeast = 3000.0  // ms without an answer, besides twice the longest way lately
+	silentMost  = 20000.0 // ms until a silent connection is ended
+	slowestKept = 0.95    // of the longest way, from look to look
 )
 
 // Node is a steward in service.
@@ -46,10 +51,13 @@
 
 	// What follows is the owner's.
 	streams    map[int]*stream
+	silent     map[int]*stream // that fell silent, by proxy
 	collectors map[int][]*stream
 	address    map[int]string // of hosts
 	wakeAt     float64
 	tracedAt   float64
+	listenedAt float64
+	slowest    float64 // the longest way to an answer lately, ms
 	odd        atomic.Int64
 	oddAt      atomic.Int64
 }
@@ -96,7 +104,7 @@
 	}
 	n := &Node{config: c, log: log, inst: inst, bounds: boundsOf(c.Settings), prober: &http1.Client{Idle: -1},
 		notes: make(chan func(), noteMost), done: make(chan struct{}), origin: time.Now(),
-		streams: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}}
+		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}}
 	proxies := *c.Settings.FamilyInfo.DataPlaneSize
 	hosts := len(c.Known.Instances)
 	n.probes = make(chan struct{}, min(max(hosts, 4), probesMost))
@@ -182,6 +190,7 @@
 		case <-timer.C:
 		}
 		now := n.now()
+		n.listen(now)
 		n.inst.Round(now, w)
 		n.orders.flush(func(p int, message []byte, mark int) {
 			s := n.streams[p]
@@ -199,13 +208,17 @@
 }
 
 // join begins a proxy's stream; an earlier one of the same proxy is over.
-func (n *Node) join(s *stream, zone int, weight float64) {
-	if was := n.streams[s.proxy]; was != nil {
-		was.end()
+func (n *Node) join(s *stream) {
+	for _, was := range []*stream{n.streams[s.proxy], n.silent[s.proxy]} {
+		if was != nil && was != s {
+			was.end()
+		}
 	}
+	delete(n.silent, s.proxy)
 	n.streams[s.proxy] = s
+	s.sent = nil
 	n.orders.forget(s.proxy)
-	n.inst.Joined(s.proxy, zone, weight)
+	n.inst.Joined(s.proxy, s.zone, s.weight)
 }
 
 func (n *Node) leave(s *stream) {
@@ -214,6 +227,30 @@
 		n.orders.forget(s.proxy)
 		n.inst.Left(s.proxy)
 	}
+	if n.silent[s.proxy] == s {
+		delete(n.silent, s.proxy)
+	}
+}
+
+// listen looks for streams that have fallen silent: a mark waits for its answer, and nothing was heard since it went out.
+// Such a proxy has left, but its connection is kept for a while: if it speaks again, it is joined again.
+func (n *Node) listen(now float64) {
+	if now < n.listenedAt+listenEvery {
+		return
+	}
+	n.listenedAt, n.slowest = now, n.slowest*slowestKept
+	for _, s := range n.streams {
+		if len(s.sent) > 0 && float64(s.heard.Load()) < s.sent[0].at && now > s.sent[0].at+silentLeast+2*n.slowest {
+			n.log.Debug().Int("proxy", s.proxy).Float64("since", s.sent[0].at-now).Msg("a stream is silent")
+			n.leave(s)
+			n.silent[s.proxy] = s
+		}
+	}
+	for _, s := range n.silent {
+		if now > s.sent[0].at+silentMost {
+			s.end()
+		}
+	}
 }
 
 func (n *Node) collect(s *stream, zone int) {
@@ -229,6 +266,9 @@
 
 // take notes a message of a stream that has joined.
 func (n *Node) take(s *stream, kind string, f fields) error {
+	if s.proxy >= 0 && n.silent[s.proxy] == s {
+		n.join(s)
+	}
 	switch kind {
 	case "LOAD":
 		r, err := n.bounds.hostReport(f, n.inst)
@@ -271,6 +311,7 @@
 		for _, t := range s.sent[:at+1] {
 			n.inst.Answered(t.number)
 		}
+		n.slowest = max(n.slowest, n.now()-s.sent[at].at)
 	}
 	s.sent = slices.Delete(s.sent, 0, at+1)
 	return nil
--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"barleysail/internal/resp"
@@ -33,8 +34,12 @@
 	writing bool
 	closed  bool
 
-	proxy int     // what follows is the owner's: -1 for a collector
-	sent  []stamp // marks not yet answered
+	heard atomic.Int64 // when bytes last came, in ms
+
+	proxy  int // what follows is the owner's: -1 for a collector
+	zone   int
+	weight float64
+	sent   []stamp // marks not yet answered
 }
 
 type stamp struct {
@@ -171,8 +176,8 @@
 			n.spoilt("SUBSCRIBE", err)
 			return
 		}
-		s.proxy = proxy
-		n.put(func() { n.join(s, zone, weight) })
+		s.proxy, s.zone, s.weight = proxy, zone, weight
+		n.put(func() { n.join(s) })
 		defer n.put(func() { n.leave(s) })
 	case "SOURCE":
 		zone, ok := n.inst.Zone(f["zone"])
@@ -192,6 +197,7 @@
 			n.log.Debug().Err(err).Int("proxy", s.proxy).Msg("a stream ends")
 			return
 		}
+		s.heard.Store(int64(n.now()))
 		if len(words) == 1 && words[0] == "PING" {
 			s.send(pong)
 			continue
