Take a refusal that comes after a long hold as silence: the host could not serve the probe

Seen: on churn, in the dips at 20 s and 50 s, slow hosts stood at full weight for ten seconds. The trace of probes shows that they answer 503 after exactly the time that the other stewards' probes needed to time out; drains and too many probes are refused in 1 to 5 ms. Half of the silences were thus noted as refusals, which count for nothing (examine in internal/platform/list.go).

--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -172,8 +172,10 @@
 }
 
 // examine probes a host: only a refused connection proves that nothing is there. A reset one may be the network's doing,
-// so it is tried again: a process that has just ended refuses then. The error says why a probe was not fine.
+// so it is tried again: a process that has just ended refuses then. A host refuses at once; one that does so only after it
+// has held the probe for long could not serve it, which is silence. The error says why a probe was not fine.
 func examine(ctx context.Context, c *http1.Client, address string, most time.Duration) (decide.Outcome, decide.Load, error) {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	var r *http1.Response
@@ -189,6 +191,8 @@
 		return decide.Unreachable, decide.NoLoad, err
 	case err != nil:
 		return decide.Silent, decide.NoLoad, err
+	case r.Status != 200 && time.Since(began) > most/2:
+		return decide.Silent, decide.NoLoad, fmt.Errorf("held and then answered %d", r.Status)
 	case r.Status != 200:
 		return decide.Refused, decide.NoLoad, fmt.Errorf("answered %d", r.Status)
 	}
--- a/internal/platform/probe_test.go
+++ b/internal/platform/probe_test.go
@@ -12,7 +12,10 @@
 	"barleysail/internal/kept"
 )
 
-// host answers each connection by the next of its ways: r resets it, s says nothing, f answers well, b refuses.
+const late = 150 * time.Millisecond
+
+// host answers each connection by the next of its ways: r resets it, s says nothing, f answers well, b refuses, l does so
+// after it has held the probe for long.
 func host(t *testing.T, ways string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -34,6 +37,9 @@
 			case 'f':
 				c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 24\r\nConnection: close\r\n\r\n{\"util\":0.5,\"qps\":\"odd\"}\n"))
 				c.Close()
+			case 'l':
+				time.Sleep(late)
+				fallthrough
 			case 'b':
 				c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
 				c.Close()
@@ -52,12 +58,12 @@
 	nobody := l.Addr().String()
 	l.Close()
 	var now strings.Builder
-	for _, ways := range []string{"f", "b", "rf", "rrf", "r", "s", "rs", ""} {
+	for _, ways := range []string{"f", "b", "rf", "rrf", "r", "s", "rs", "l", ""} {
 		address := nobody
 		if ways != "" {
 			address = host(t, ways)
 		}
-		how, load, err := examine(context.Background(), &http1.Client{Idle: -1}, address, 200*time.Millisecond)
+		how, load, err := examine(context.Background(), &http1.Client{Idle: -1}, address, 2*late-late/10)
 		fmt.Fprintf(&now, "%q: outcome %d, util %.2f, qps %.0f, fine %v\n", ways, how, load.Util, load.Rate, err == nil)
 	}
 	kept.Trace(t, now.String())
