Probe again soon after silence, and doubt hosts that are busy and silent

Checked: the sums cannot show it sooner (2 s period, 0.4 to 1.5 s late, and only what was fulfilled counts in R); the trace of probes shows the first silence about 2 s in, but the next probe came only 4 s after the first, since probe() in decide.go set its pace when the probe went out; and strikes moved no weight, only withdrawals, which need silence and no fulfilled try. Ruled out: cold hosts (the dips stay with them mended), CPU (0.04 s in the dearest second), resets. Only ready hosts count in the pace of probes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,6 +37,7 @@
 	strainPart   = 0.15    // of a host's tries fail
 	strainHosts  = 0.6     // of the hosts are such in a strain
 	strainIdle   = 0.4     // are such though not busy
+	idleUnder    = 0.6     // busy cores under which a host that lets probes wait is out of reach, not slow
 	strainSilent = 0.35    // at most leave a probe unanswered
 	traffic      = 0.3     // of a proxy's rate follows its last sums
 	shortHand    = 0.7     // of its due weight, under which a hand is filled up
@@ -45,6 +46,9 @@
 	slowest      = 0.5     // the channel is taken to run at this part of its pace
 	probePart    = 0.003   // of the result may go into the price of probes
 	probeSoon    = 300.0   // ms until a host that left a probe unanswered is asked again
+	doubtPart    = 0.5     // of its weight is left to a host for each unanswered probe
+	doubtMost    = 3.0     // of them count
+	doubtFades   = 0.5     // with each answered one
 	silences     = 3       // unanswered probes in a row that may prove a server silent
 	absences     = 2       // unanswered probes in a row that prove a server absent, or count for a cut
 	cutPart      = 0.75    // of a zone's servers unanswered, and of another's answered, make a cut
@@ -139,25 +143,30 @@
 }
 
 // probe examines a host, and again after a while that keeps the price of probes under a small part of the
-// result.
+// result, or soon where one was left unanswered. Each outcome raises or lowers the doubt about the host.
 func (s *Steward) probe(w Writer, h, life int) {
 	v := &s.servers[h]
 	if v.life != life { // forgotten meanwhile: its index may be another host's
 		return
 	}
-	if v.phase == Ready && !v.probing {
-		v.probing = true
-		w.Probe(h)
-	}
-	every, total := probeSoon, 1e-9
-	if v.strikes == 0 || v.strikes > silences || v.out {
+	urgent := v.strikes > 0 && v.strikes <= silences && !v.out
+	if v.phase == Ready && !v.probing && (urgent || s.now >= v.probeAt) {
+		if v.strikes > 0 && s.few {
+			v.doubt = math.Min(v.doubt+1, doubtMost)
+		} else if v.strikes == 0 {
+			v.doubt = math.Max(v.doubt-doubtFades, 0)
+		}
+		total, n := 1e-9, 0.0
 		for _, h := range s.order {
-			total += s.servers[h].rate
+			if total += s.servers[h].rate; s.servers[h].phase == Ready {
+				n++
+			}
 		}
-		every = float64(len(s.order)*s.fleet.Instances) * s.goal.ProbePrice / (probePart * total) * 1000
-		every = math.Min(math.Max(every, 500), 4000)
+		every := n * float64(s.fleet.Instances) * s.goal.ProbePrice / (probePart * total) * 1000
+		v.probing, v.probeAt = true, s.now+math.Min(math.Max(every, 500), 4000)
+		w.Probe(h)
 	}
-	s.add(every, func(w Writer) { s.probe(w, h, life) })
+	s.add(probeSoon, func(w Writer) { s.probe(w, h, life) })
 }
 
 // follow keeps the subscription where the list must be asked. A failed call is repeated after a wait that
@@ -426,6 +435,7 @@
 			in += v.listed
 		}
 	}
+	s.few = silent*4 <= n+3 && s.fulfilled > 0.5
 	least := keepPart * listed * s.share()
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -437,7 +447,7 @@
 			if v.fine < 2 && (v.absent || !s.zoneBack[v.zone]) {
 				continue
 			}
-			v.out, v.strikes, v.hold, v.r, v.back = false, 0, s.now+s.settle, s.median, s.now
+			v.out, v.strikes, v.doubt, v.hold, v.r, v.back = false, 0, 0, s.now+s.settle, s.median, s.now
 			if v.absent { // it may have restarted, and counts as cold
 				v.started, v.back = s.now, longAgo
 			}
@@ -452,7 +462,7 @@
 			cut = cut || z != v.zone && all[z] > 0 && float64(fine[z]) >= cutPart*float64(all[z])
 		}
 		cut = cut && all[v.zone] > 1 && float64(mute[v.zone]) >= cutPart*float64(all[v.zone])
-		alone := v.strikes >= silences && silent*4 <= n+3 && s.fulfilled > 0.5
+		alone := v.strikes >= silences && s.few
 		dry := s.heardAt-v.fed >= s.cycle*0.7 && (alone || cut)
 		if (v.absent || dry) && in-v.listed >= least && in > v.listed {
 			v.out, v.fine = true, 0
@@ -532,6 +542,10 @@
 	if trust > distrust*s.fulfilled {
 		trust = 1
 	}
+	// A host that lets probes wait is slow long before its sums show it; where many do, the fleet is busy.
+	if b := v.load.busy(); s.few && (b < 0 || b > idleUnder) {
+		trust = math.Min(trust, math.Pow(doubtPart, v.doubt))
+	}
 	return math.Max(v.weight, floorPart*v.listed) * s.part(v) * warm * trust
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -454,3 +454,35 @@
 	}
 	b.check(t)
 }
+
+// Two hosts let probes wait. The one that reports busy cores has grown slow, and loses weight with each probe, long
+// before sums could show it; the one that reports idle cores is out of this steward's reach, and keeps it. Answered
+// probes bring it back by steps.
+func TestSlowHost(t *testing.T) {
+	b := start(plain(), 8)
+	answer := func(ms float64, how Outcome) {
+		for end := b.now + ms; b.now < end; {
+			b.run(200, nil)
+			for h := range 8 {
+				load := Load{Util: 0.5, Rate: -1, Queue: -1}
+				if h == 2 {
+					load.Util = 0.97
+				}
+				if int(b.now)%1000 == 0 {
+					b.Heard(h, 3, 0, 100, 1000, load)
+				}
+				if b.servers[h].probing && (h == 2 || h == 3) {
+					b.Probed(h, how, NoLoad)
+				} else if b.servers[h].probing {
+					b.Probed(h, Fine, load)
+				}
+			}
+		}
+	}
+	answer(2000, Fine)
+	b.say("two hosts let probes wait")
+	answer(6000, Silent)
+	b.say("and answer again")
+	answer(16000, Fine)
+	b.check(t)
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -34,6 +34,8 @@
 	strikes, fine   int     // probes in a row unanswered, answered
 	absent          bool    // the last unanswered probe found nothing there
 	probing         bool    // a probe is out
+	probeAt         float64 // when the next one is due
+	doubt           float64 // probes unanswered lately
 	out             bool    // withdrawn
 	back            float64 // when it returned on trial
 	won, lost       float64 // faded fast: tries fulfilled and failed, also while a move has yet to show
@@ -73,6 +75,7 @@
 
 	now, wakeAt float64
 	knowing     float64 // sums from then on show our own first orders
+	few         bool    // few hosts leave probes unanswered
 	heats       bool    // cold servers may be sent to
 	behind      bool    // removals or starts wait for the channel
 	thin        float64 // weight of the warm lines, as a part of all that is listed
