Send all weights worth telling in a message that goes out anyway; cold hosts by what can be done now

Checked: the purse of order prices in publish() paid for three changes a second; of 1,800 lines that the first change costs 200 proxies, 1,600 are heads. Now what is worth telling goes along once a message is due. The thinning in heat() took ready cold hosts for able ones: with half of the fleet cold it halved what each may get; now it reckons with what each can do at present, so that warm lines at their listed weight thin nothing.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -508,19 +508,19 @@
 // have, and until sums show our own first orders nobody knows how the fleet fares under them. Where no
 // ready server is warm, the cold ones together must bear the traffic.
 func (s *Steward) heat(ejects, multiple float64) bool {
-	warm, able, all, ready, held := false, 0.0, 0.0, 0.0, 0.0
+	warm, able, all, held := false, 0.0, 0.0, 0.0
 	for _, h := range s.order {
 		v := &s.servers[h]
 		all += v.listed
 		if v.phase == Ready {
-			able, ready = able+v.listed*s.warmth(v, s.guard), ready+v.listed
+			able += v.listed * s.warmth(v, s.guard)
 			if s.warmth(v, s.guard) >= 1 {
 				warm, held = true, held+v.told
 			}
 		}
 	}
-	// Hosts that are gone count only where none is warm: a fleet replaced host by host lists ever more of them.
-	if s.thin = math.Min(1, held/math.Max(ready, 1e-9)); !warm {
+	// A cold host may have its part of what the warm ones and it can do; what is gone can do nothing.
+	if s.thin = math.Min(1, held/math.Max(able, 1e-9)); !warm {
 		s.thin = 1
 		return able*multiple >= coldOnlyPart*all
 	}
@@ -704,7 +704,7 @@
 	if start := b.queue; s.open() && !behind {
 		sort.SliceStable(later, func(i, j int) bool { return later[i].size > later[j].size })
 		for _, l := range later {
-			if was := b.queue; s.purse > 0 && fits(s.servers[l.h].holders, weightsTo) {
+			if was := b.queue; (s.purse > 0 || was > start) && fits(s.servers[l.h].holders, weightsTo) {
 				s.write(w, l.h, l.want, b)
 				s.purse -= b.queue - was
 			}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -133,7 +133,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.log.Info().Str("name", n.config.Name).Stringer("listen", l.Addr()).Int("strangers", n.door.most).
-		Float64("cores", n.config.Limits.Cores).Float64("memory_mb", n.config.Limits.MemoryMB).Int("sockets", n.config.Limits.Sockets).Msg("in service")
+		Float64("cores", n.config.Limits.Cores).Float64("memory_mb", n.config.Limits.MemoryMB).Int("sockets", n.config.Limits.Sockets).
+		Float64("lines_per_s", *n.config.Settings.FamilyInfo.ChannelRate).Float64("most_waiting", *n.config.Settings.FamilyInfo.MostWaiting).
+		Float64("head", *n.config.Settings.FamilyInfo.PerMessage).Float64("order_price", n.config.Settings.FamilyInfo.OrderPrice).Msg("in service")
 	known := n.config.Known
 	known.Reset = true
 	n.note(known, true)
