Let doubts count for less where many are doubted, and not thin out cold hosts

The trace shows busy hosts doubted one after the other (1.0 -> 0.12), the next one then taking all and jamming, and fresh hosts at 0.18 with idle cores, since thin in heat() took the doubted weights for lost ones. Checked: the bound in judge() counted only hosts silent at the moment, not those still doubted.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,8 @@
 	probeSoon    = 300.0   // ms until a host that left a probe unanswered is asked again
 	doubtPart    = 0.5     // of its weight is left to a host for each unanswered probe
 	doubtMost    = 3.0     // of them count
-	doubtFades   = 0.5     // with each answered one
+	doubtFades   = 1.0     // with each answered one
+	doubtTo      = 0.25    // of the hosts may be doubted fully
 	silences     = 3       // unanswered probes in a row that may prove a server silent
 	absences     = 2       // unanswered probes in a row that prove a server absent, or count for a cut
 	cutPart      = 0.75    // of a zone's servers unanswered, and of another's answered, make a cut
@@ -417,7 +418,7 @@
 // while no try is fulfilled there, alone or with its zone. It must not take a busy server for a silent one:
 // many silent, or a fleet that fails, prove nothing. What is left must carry the joined proxies' traffic.
 func (s *Steward) judge(w Writer) {
-	listed, in, silent, n := 0.0, 0.0, 0, 0
+	listed, in, silent, n, doubted := 0.0, 0.0, 0, 0, 1e-9
 	all, fine, mute := make([]int, s.fleet.Zones), make([]int, s.fleet.Zones), make([]int, s.fleet.Zones)
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -425,7 +426,7 @@
 			continue
 		}
 		listed, n, all[v.zone], fine[v.zone] = listed+v.listed, n+1, all[v.zone]+1, fine[v.zone]+min(v.fine, 1)
-		if v.strikes > 0 && !v.absent {
+		if doubted += math.Min(v.doubt, 1); v.strikes > 0 && !v.absent {
 			silent++
 		}
 		if v.strikes >= absences {
@@ -435,7 +436,7 @@
 			in += v.listed
 		}
 	}
-	s.few = silent*4 <= n+3 && s.fulfilled > 0.5
+	s.few, s.doubts = silent*4 <= n+3 && s.fulfilled > 0.5, math.Min(1, doubtTo*float64(n)/doubted)
 	least := keepPart * listed * s.share()
 	for _, h := range s.order {
 		v := &s.servers[h]
@@ -515,7 +516,9 @@
 		if v.phase == Ready {
 			able += v.listed * s.warmth(v, s.guard)
 			if s.warmth(v, s.guard) >= 1 {
-				warm, held = true, held+v.told
+				if warm = true; v.told > 0 {
+					held += math.Max(v.told, v.weight)
+				}
 			}
 		}
 	}
@@ -542,9 +545,10 @@
 	if trust > distrust*s.fulfilled {
 		trust = 1
 	}
-	// A host that lets probes wait is slow long before its sums show it; where many do, the fleet is busy.
+	// A host that lets probes wait is slow long before its sums show it; where many do, the fleet is busy, and
+	// what the doubted ones lose would only jam the next.
 	if b := v.load.busy(); s.few && (b < 0 || b > idleUnder) {
-		trust = math.Min(trust, math.Pow(doubtPart, v.doubt))
+		trust = math.Min(trust, math.Pow(doubtPart, v.doubt*s.doubts))
 	}
 	return math.Max(v.weight, floorPart*v.listed) * s.part(v) * warm * trust
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -486,3 +486,32 @@
 	answer(16000, Fine)
 	b.check(t)
 }
+
+// A busy fleet lets probes wait here and there, one host after the other. Doubt about many must not pile up on the few
+// that are left: the more are doubted, the less it counts; and it must not thin out a cold host.
+func TestManyDoubted(t *testing.T) {
+	b := start(plain(), 8)
+	b.run(3000, nil)
+	b.Entry(8, 0, Ready, 1, b.now)
+	for second := range 12 {
+		for range 5 {
+			b.run(200, nil)
+			for h := range 9 {
+				load := Load{Util: 0.97, Rate: -1, Queue: -1}
+				if int(b.now)%1000 == 0 {
+					b.Heard(h, 3, 0, 100, 1000, load)
+				}
+				if how := Fine; b.servers[h].probing {
+					if h%4 == second%4 && h < 8 {
+						how = Silent
+					}
+					b.Probed(h, how, load)
+				}
+			}
+		}
+	}
+	for h := range 9 {
+		b.say("host %d doubt %.1f told %.3f", h, b.servers[h].doubt, b.servers[h].told)
+	}
+	b.check(t)
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -76,6 +76,7 @@
 	now, wakeAt float64
 	knowing     float64 // sums from then on show our own first orders
 	few         bool    // few hosts leave probes unanswered
+	doubts      float64 // part of the doubts about hosts that counts
 	heats       bool    // cold servers may be sent to
 	behind      bool    // removals or starts wait for the channel
 	thin        float64 // weight of the warm lines, as a part of all that is listed
