--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -75,7 +75,7 @@
 	for ctx.Err() == nil {
 		at, cancel := context.WithCancel(ctx)
 		done := make(chan struct{})
-		go func() { defer close(done); w.follow(at, address) }()
+		go func(address string) { defer close(done); w.follow(at, address) }(address)
 		select {
 		case <-ctx.Done():
 		case address = <-w.moved:
