--- a/cmd/barleysail/node.go
+++ b/cmd/barleysail/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -32,6 +33,9 @@
 			signal.Notify(hup, syscall.SIGHUP)
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
+			if file == "" {
+				return errors.New("EDGE_CONFIG is not set, and no --config given")
+			}
 			cfg, err := platform.LoadConfig(file)
 			if err != nil {
 				return err
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -17,6 +17,7 @@
 	classes map[string]int
 	index   map[string]int
 	hosts   []string
+	free    []int // indices of hosts that were forgotten
 }
 
 // New starts the module by the settings.
@@ -52,7 +53,10 @@
 // Host gives the index of a host, a new one for an id not met before.
 func (n *Instance) Host(id string) int {
 	i, ok := n.index[id]
-	if !ok {
+	if !ok && len(n.free) > 0 {
+		i, n.free = n.free[len(n.free)-1], n.free[:len(n.free)-1]
+		n.index[id], n.hosts[i] = i, id
+	} else if !ok {
 		i = len(n.hosts)
 		n.index[id] = i
 		n.hosts = append(n.hosts, id)
@@ -60,6 +64,18 @@
 	return i
 }
 
+// Drop forgets a host that is gone and gives its index to another. It answers false, and keeps all, while a table or a
+// probe still names the host.
+func (n *Instance) Drop(host int) bool {
+	if !n.Forget(host) {
+		return false
+	}
+	delete(n.index, n.hosts[host])
+	n.hosts[host] = ""
+	n.free = append(n.free, host)
+	return true
+}
+
 // Known gives the index of a host that was met before.
 func (n *Instance) Known(id string) (int, bool) {
 	i, ok := n.index[id]
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -38,6 +38,8 @@
 	watchHold  = 1500 * time.Millisecond
 	watchSlack = 400 * time.Millisecond // for the answer to come after that
 	listMost   = time.Second            // for the whole list
+	quietLeast = 50 * time.Millisecond  // between watches that end at once with nothing new
+	goneKept   = 30000.0                // ms that a host that is gone is remembered
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 	resetMost  = 3 // calls of a probe: a network that resets connections says nothing of the host
@@ -47,12 +49,18 @@
 type watcher struct {
 	client *http1.Client
 	log    zerolog.Logger
+	odd    *troubles
+	zones  map[string]bool
 	moved  chan string // the newest address
 	tell   func(list)  // takes what came, in order
 }
 
-func newWatcher(log zerolog.Logger, tell func(list)) *watcher {
-	return &watcher{client: &http1.Client{Idle: 1}, log: log, moved: make(chan string, 1), tell: tell}
+func newWatcher(log zerolog.Logger, odd *troubles, zones []string, tell func(list)) *watcher {
+	w := &watcher{client: &http1.Client{Idle: 1}, log: log, odd: odd, zones: map[string]bool{}, moved: make(chan string, 1), tell: tell}
+	for _, z := range zones {
+		w.zones[z] = true
+	}
+	return w
 }
 
 // move names another address; the newest counts.
@@ -95,23 +103,26 @@
 			target = fmt.Sprintf("%s?from=%d&hold_ms=%d", target, version, watchHold.Milliseconds())
 			most = watchHold + watchSlack
 		}
+		began := time.Now()
 		l, err := w.call(ctx, address, target, most)
+		pause := wait
 		if err == nil {
-			known, version, wait = true, l.Generation, retryFirst
+			known, version, wait, pause = true, l.Generation, retryFirst, 0
 			if l.Reset || len(l.Instances) > 0 {
 				w.tell(l)
+			} else if time.Since(began) < quietLeast { // an agent that does not hold watches must not be asked in a loop
+				pause = quietLeast
 			}
-			continue
-		}
-		if ctx.Err() != nil {
+		} else if ctx.Err() != nil {
 			return
+		} else {
+			w.odd.count("list call failed", err)
+			wait = min(2*wait, retryMost)
 		}
-		w.log.Debug().Err(err).Str("target", target).Msg("list call failed")
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-time.After(pause):
 		}
-		wait = min(2*wait, retryMost)
 	}
 }
 
@@ -129,38 +140,71 @@
 	if err := json.Unmarshal(r.Body, &l); err != nil {
 		return l, fmt.Errorf("reading the list: %w", err)
 	}
-	return l, nil
+	return l, l.check(w.zones)
+}
+
+// check refuses a list whole where any of it makes no sense: half a list would take hosts for gone.
+func (l list) check(zones map[string]bool) error {
+	for _, e := range l.Instances {
+		phase, ok := phases[e.Lifecycle]
+		_, _, err := net.SplitHostPort(e.HostPort)
+		switch {
+		case e.InstanceID == "" || !ok || e.Weight < 0 || e.StartedAtMs < 0:
+			return fmt.Errorf("reading the list: host %.40q: lifecycle %.20q, weight %g, started %g", e.InstanceID, e.Lifecycle, e.Weight, e.StartedAtMs)
+		case phase != decide.Gone && (err != nil || !zones[e.Zone]):
+			return fmt.Errorf("reading the list: host %.40q: zone %.40q, address %.40q", e.InstanceID, e.Zone, e.HostPort)
+		}
+	}
+	return nil
 }
 
-// note gives a list to the module. An entry that makes no sense is passed over: the rest of the list still holds.
+// note gives a list to the module; it has been checked.
 func (n *Node) note(l list, cached bool) {
 	if l.Reset {
+		for h := range n.inst.Hosts() {
+			n.mourn(h)
+		}
 		n.inst.WholeList(cached)
 	} else {
 		n.inst.ListChange()
 	}
 	for _, e := range l.Instances {
-		phase, ok := phases[e.Lifecycle]
-		zone, there := n.inst.Zone(e.Zone)
+		phase := phases[e.Lifecycle]
 		h, met := n.inst.Known(e.InstanceID)
-		if phase == decide.Gone && met {
-			there = true
-		}
-		if !ok || !there || e.InstanceID == "" || e.Weight < 0 {
-			n.log.Warn().Str("host", e.InstanceID).Str("zone", e.Zone).Str("lifecycle", e.Lifecycle).Msg("odd list entry")
+		if phase == decide.Gone && !met {
 			continue
 		}
 		if !met {
 			h = n.inst.Host(e.InstanceID)
 		}
-		if _, _, err := net.SplitHostPort(e.HostPort); err == nil {
-			n.address[h] = e.HostPort
+		zone, _ := n.inst.Zone(e.Zone)
+		if n.address[h] = e.HostPort; phase == decide.Gone {
+			n.mourn(h)
+		} else {
+			delete(n.gone, h)
 		}
 		n.inst.Entry(h, zone, phase, e.Weight, e.StartedAtMs)
 	}
 	n.log.Debug().Int64("generation", l.Generation).Bool("whole", l.Reset).Int("entries", len(l.Instances)).Msg("list")
 }
 
+// mourn notes that a host is gone, if it was not before.
+func (n *Node) mourn(h int) {
+	if _, before := n.gone[h]; !before && n.inst.ID(h) != "" {
+		n.gone[h] = n.now()
+	}
+}
+
+// bury forgets hosts that have been gone for long: a fleet that is replaced host by host would fill the memory.
+func (n *Node) bury(now float64) {
+	for h, since := range n.gone {
+		if now > since+goneKept && n.inst.Drop(h) {
+			delete(n.gone, h)
+			delete(n.address, h)
+		}
+	}
+}
+
 // probe asks a host how it is, and notes the outcome.
 func (n *Node) probe(ctx context.Context, h int, address string) {
 	began := time.Now()
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -9,7 +9,6 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,7 +24,6 @@
 	probesMost    = 32
 	strangersMin  = 8
 	strangersMax  = 256
-	tellEvery     = 5000.0 // ms between lines on spoilt messages
 
 	listenEvery = 500.0   // ms between looks for silent streams
 	silentLeast = 3000.0  // ms without an answer, besides twice the longest way lately
@@ -44,6 +42,7 @@
 	list   *watcher
 	prober *http1.Client
 	probes chan struct{} // held by those that go on
+	odd    *troubles
 	notes  chan func()
 	done   chan struct{}
 
@@ -57,9 +56,8 @@
 	wakeAt     float64
 	tracedAt   float64
 	listenedAt float64
-	slowest    float64 // the longest way to an answer lately, ms
-	odd        atomic.Int64
-	oddAt      atomic.Int64
+	slowest    float64         // the longest way to an answer lately, ms
+	gone       map[int]float64 // since when hosts are
 }
 
 // writer is the decide.Writer of a node: what is not for proxies is done at once.
@@ -104,7 +102,8 @@
 	}
 	n := &Node{config: c, log: log, inst: inst, bounds: boundsOf(c.Settings), prober: &http1.Client{Idle: -1},
 		notes: make(chan func(), noteMost), done: make(chan struct{}), origin: time.Now(),
-		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}}
+		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}, gone: map[int]float64{}}
+	n.odd = newTroubles(log, time.Now)
 	proxies := *c.Settings.FamilyInfo.DataPlaneSize
 	hosts := len(c.Known.Instances)
 	n.probes = make(chan struct{}, min(max(hosts, 4), probesMost))
@@ -119,7 +118,7 @@
 		names = append(names, s.Name)
 	}
 	n.orders = newOrders(names, inst.ID, func() iter.Seq[int] { return maps.Keys(n.streams) })
-	n.list = newWatcher(log, func(l list) { n.put(func() { n.note(l, false) }) })
+	n.list = newWatcher(log, n.odd, c.Settings.FailureDomains, func(l list) { n.put(func() { n.note(l, false) }) })
 	return n, nil
 }
 
@@ -137,7 +136,10 @@
 		Float64("lines_per_s", *n.config.Settings.FamilyInfo.ChannelRate).Float64("most_waiting", *n.config.Settings.FamilyInfo.MostWaiting).
 		Float64("head", *n.config.Settings.FamilyInfo.PerMessage).Float64("order_price", n.config.Settings.FamilyInfo.OrderPrice).Msg("in service")
 	known := n.config.Known
-	known.Reset = true
+	if known.Reset = true; known.check(n.list.zones) != nil {
+		n.odd.count("the known list is odd and not taken", known.check(n.list.zones))
+		known.Instances = nil
+	}
 	n.note(known, true)
 	n.config.Known = list{}
 	go n.list.run(ctx, n.config.Discovery)
@@ -241,6 +243,7 @@
 		return
 	}
 	n.listenedAt, n.slowest = now, n.slowest*slowestKept
+	n.bury(now)
 	for _, s := range n.streams {
 		if len(s.sent) > 0 && float64(s.heard.Load()) < s.sent[0].at && now > s.sent[0].at+silentLeast+2*n.slowest {
 			n.log.Debug().Int("proxy", s.proxy).Float64("since", s.sent[0].at-now).Msg("a stream is silent")
@@ -318,11 +321,3 @@
 	s.sent = slices.Delete(s.sent, 0, at+1)
 	return nil
 }
-
-// spoilt counts a message that was passed over, and says so now and then.
-func (n *Node) spoilt(kind string, err error) {
-	count, now := n.odd.Add(1), int64(n.now())
-	if at := n.oddAt.Load(); float64(now-at) >= tellEvery && n.oddAt.CompareAndSwap(at, now) {
-		n.log.Info().Str("kind", kind[:min(len(kind), 20)]).Err(err).Int64("so_far", count).Msg("spoilt message passed over")
-	}
-}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -72,6 +72,19 @@
 	return n, c.Listen
 }
 
+// node is one that does not run: its owner is the test.
+func node(t *testing.T) *Node {
+	c, err := parseConfig(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","settings":%s}`, settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(c, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 type peer struct {
 	t *testing.T
 	net.Conn
@@ -215,16 +228,7 @@
 
 // A stream that leaves a mark unanswered and says nothing counts as left, and joins again as soon as it speaks.
 func TestSilentStream(t *testing.T) {
-	c := &Config{Discovery: "127.0.0.1:1"}
-	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","settings":%s}`, settings)
-	var err error
-	if c, err = parseConfig([]byte(text)); err != nil {
-		t.Fatal(err)
-	}
-	n, err := New(c, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
+	n := node(t)
 	here, there := net.Pipe()
 	defer there.Close()
 	s := &stream{Conn: here, proxy: 2}
--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,7 +150,7 @@
 			return nil
 		}
 		if err != nil { // out of descriptors, most likely: strangers end meanwhile
-			n.log.Warn().Err(err).Msg("accept")
+			n.odd.count("accepting fails", err)
 			select {
 			case <-ctx.Done():
 				return nil
@@ -173,7 +175,7 @@
 	case "SUBSCRIBE":
 		proxy, zone, weight, err := n.bounds.joining(f, n.inst)
 		if err != nil {
-			n.spoilt("SUBSCRIBE", err)
+			n.odd.count("a joining makes no sense", err)
 			return
 		}
 		s.proxy, s.zone, s.weight = proxy, zone, weight
@@ -182,11 +184,13 @@
 	case "SOURCE":
 		zone, ok := n.inst.Zone(f["zone"])
 		if !ok {
+			n.odd.count("a joining makes no sense", fmt.Errorf("zone is %.20q", f["zone"]))
 			return
 		}
 		n.put(func() { n.collect(s, zone) })
 		defer n.put(func() { n.uncollect(s, zone) })
 	default:
+		n.odd.count("a stranger does not join", nil)
 		return
 	}
 	s.SetReadDeadline(time.Time{})
@@ -194,6 +198,9 @@
 	for {
 		var err error
 		if words, err = r.Read(words, resp.Limits{Words: wordsMost, Bytes: messageMost}); err != nil {
+			if ill := textproto.ProtocolError(""); errors.As(err, &ill) {
+				n.odd.count("a stream goes on with what can't be read", err)
+			}
 			n.log.Debug().Err(err).Int("proxy", s.proxy).Msg("a stream ends")
 			return
 		}
@@ -212,7 +219,7 @@
 				err = n.take(s, kind, f)
 			}
 			if err != nil {
-				n.spoilt(kind, err)
+				n.odd.count(spoilt(kind), err)
 			}
 		})
 	}
@@ -237,3 +244,12 @@
 	}
 	return "", nil
 }
+
+// spoilt names the trouble of a message that was passed over.
+func spoilt(kind string) string {
+	switch kind {
+	case "LOAD", "RATE", "ACK":
+		return "a spoilt " + kind + " is passed over"
+	}
+	return "a message of no known kind is passed over"
+}
