Name the platform's parts by the field's words: event loop, admission, health check

door is admission, strangers are pending connections, notes are the event queue, own is the loop, examine is healthCheck, mourn and bury are retire and forgetRetired, troubles are the fault log; health checks and admission have files of their own. Log lines say malformed and dropped. Behaviour is as it was: the kept traces differ by these words alone.

--- a/internal/platform/alike_test.go
+++ b/internal/platform/alike_test.go
@@ -58,30 +58,30 @@
 	}
 	hosts := []entry{host("s-1", "a", "Ready", 0), host("s-2", "b", "Ready", 0)}
 	records := record("s-1", "a", 1, 0) + "," + record("s-2", "b", 1, 0)
-	n.note(list{Reset: true, Instances: hosts}, true)
+	n.applyList(list{Reset: true, Instances: hosts}, true)
 	n.join(&stream{proxy: 2, zone: 1, weight: 3})
 	round(1000, fmt.Sprintf(`{"event_type":"Start","I":0,"Prng":%d,"Settings":%s}`, 0x1f, strings.ReplaceAll(settings, "\n", "")),
 		`{"event_type":"Endpoints","I":0,"How":4,"Number":1,"Records":[`+records+`]}`, `{"event_type":"CheckedIn","I":0,"Px":2,"Area":"b","W":3,"Flag":true}`)
-	n.note(list{Reset: true, Instances: append(hosts, host("s-3", "a", "Ready", 1500))}, false)
+	n.applyList(list{Reset: true, Instances: append(hosts, host("s-3", "a", "Ready", 1500))}, false)
 	round(1600, `{"event_type":"Endpoints","I":0,"How":1,"Number":2,"Records":[`+records+","+record("s-3", "a", 1, 1500)+`]}`)
 	for i := range 40 {
 		var events []string
 		for h, mean := range []float64{100, 300} {
 			text := fmt.Sprintf("LOAD zone a server s-%d tries 20 failed %d mean_ms %g span_ms 1000 load util:0.6,qps:20", h+1, h, mean)
 			f, _ := fieldsOf(strings.Fields(text))
-			if err := n.take(&stream{proxy: -1}, "LOAD", f); err != nil {
+			if err := n.handle(&stream{proxy: -1}, "LOAD", f); err != nil {
 				t.Fatal(err)
 			}
 			events = append(events, fmt.Sprintf(`{"event_type":"Stats","I":0,"WindowUs":1000000,"Errors":%d,"Host":"s-%d","CostTimeUs":%d,"Area":"a","Count":20,"Report":{"util":0.6,"qps":20}}`, h, h+1, int64(mean*1000)))
 		}
 		f, _ := fieldsOf(strings.Fields("RATE proxy 2 class sign tries 9 failed 0 span_ms 1000"))
-		if err := n.take(&stream{proxy: -1}, "RATE", f); err != nil {
+		if err := n.handle(&stream{proxy: -1}, "RATE", f); err != nil {
 			t.Fatal(err)
 		}
 		events = append(events, `{"event_type":"Arrivals","I":0,"Px":2,"Kind":"sign","Count":9,"Errors":0,"WindowUs":1000000}`)
 		switch i {
 		case 20:
-			n.note(list{Instances: []entry{host("s-2", "b", "Terminating", 0)}}, false)
+			n.applyList(list{Instances: []entry{host("s-2", "b", "Terminating", 0)}}, false)
 			events = append(events, `{"event_type":"Endpoints","I":0,"How":3,"Number":3,"Records":[`+record("s-2", "b", 2, 0)+`]}`)
 		case 30:
 			n.leave(n.streams[2])
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -30,7 +30,7 @@
 	Known                   list
 	Settings                *wire.Settings
 	Step                    time.Duration // the least time between rounds
-	AnswerMost              time.Duration // for a probe
+	CheckTimeout            time.Duration // for a probe
 }
 
 // defaultStep and defaultDial hold where the settings say nothing.
@@ -91,6 +91,6 @@
 	for _, s := range c.Settings.Services {
 		due = math.Min(due, *s.AimUs)
 	}
-	c.AnswerMost = max(time.Duration(due/2*1e3), dial)
+	c.CheckTimeout = max(time.Duration(due/2*1e3), dial)
 	return c, nil
 }
--- /dev/null
+++ b/internal/platform/health.go
@@ -0,0 +1,61 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"syscall"
+	"time"
+
+	"barleysail/decide"
+	"barleysail/internal/http1"
+)
+
+const resetMost = 3 // calls of a health check: a network that resets connections says nothing of the host
+
+// check asks a host how it is, and notes the outcome.
+func (n *Node) check(ctx context.Context, h int, address string) {
+	began := time.Now()
+	how, load, err := healthCheck(ctx, n.checker, address, n.config.CheckTimeout)
+	if err != nil {
+		n.log.Debug().Int("host", h).Int("outcome", int(how)).Dur("took", time.Since(began)).Err(err).Msg("health check")
+	}
+	n.post(func() { n.inst.Probed(h, how, load) })
+}
+
+// healthCheck asks a host how it is: only a refused connection proves that nothing is there. A reset one may be the network's doing,
+// so it is tried again: a process that has just ended refuses then. A host refuses at once; one that does so only after it
+// has held the call for long could not serve it, which is silence. The error says why a check was not fine.
+func healthCheck(ctx context.Context, c *http1.Client, address string, most time.Duration) (decide.Outcome, decide.Load, error) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	var r *http1.Response
+	var err error
+	for range resetMost {
+		r, err = c.Call(ctx, "GET", address, "/_load", http1.Header("Connection", "close"))
+		if err == nil || ctx.Err() != nil || errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+	}
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return decide.Unreachable, decide.NoLoad, err
+	case err != nil:
+		return decide.Silent, decide.NoLoad, err
+	case r.Status != 200 && time.Since(began) > most/2:
+		return decide.Silent, decide.NoLoad, fmt.Errorf("held and then answered %d", r.Status)
+	case r.Status != 200:
+		return decide.Refused, decide.NoLoad, fmt.Errorf("answered %d", r.Status)
+	}
+	var values map[string]json.RawMessage
+	if json.Unmarshal(r.Body, &values) != nil {
+		return decide.Fine, decide.NoLoad, nil
+	}
+	return decide.Fine, loadOf(func(name string) (float64, bool) {
+		v, err := strconv.ParseFloat(string(values[name]), 64)
+		return v, err == nil
+	}), nil
+}
--- a/internal/platform/probe_test.go
+++ b/internal/platform/health_test.go
@@ -50,7 +50,7 @@
 }
 
 // A network that resets connections now and then must not make a host count as gone: only a refused one proves that.
-func TestProbe(t *testing.T) {
+func TestHealthCheck(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -63,7 +63,7 @@
 		if ways != "" {
 			address = host(t, ways)
 		}
-		how, load, err := examine(context.Background(), &http1.Client{Idle: -1}, address, 2*late-late/10)
+		how, load, err := healthCheck(context.Background(), &http1.Client{Idle: -1}, address, 2*late-late/10)
 		fmt.Fprintf(&now, "%q: outcome %d, util %.2f, qps %.0f, fine %v\n", ways, how, load.Util, load.Rate, err == nil)
 	}
 	kept.Trace(t, now.String())
--- a/internal/platform/list_test.go
+++ b/internal/platform/list_test.go
@@ -14,8 +14,8 @@
 	"barleysail/internal/kept"
 )
 
-// Half a list would take hosts for gone: one that holds anything odd is refused whole.
-func TestOddList(t *testing.T) {
+// Half a list would take hosts for gone: one that holds anything malformed is refused whole.
+func TestMalformedList(t *testing.T) {
 	n := node(t)
 	var now strings.Builder
 	for _, change := range [][2]string{{"", ""}, {`"s-1"`, `""`}, {"Ready", "Steady"}, {"1.0", "-1"}, {`"a"`, `"z"`}, {"127.0.0.1:1", "nowhere"},
@@ -35,27 +35,27 @@
 	n := node(t)
 	for i := range 50 {
 		id := fmt.Sprintf("s-%d", i)
-		n.note(list{Instances: []entry{{InstanceID: id, HostPort: "127.0.0.1:1", Zone: "a", Lifecycle: "Ready", Weight: 1}}}, false)
-		n.note(list{Instances: []entry{{InstanceID: id, Lifecycle: "Gone"}}}, false)
-		n.bury(n.clock.Now())
+		n.applyList(list{Instances: []entry{{InstanceID: id, HostPort: "127.0.0.1:1", Zone: "a", Lifecycle: "Ready", Weight: 1}}}, false)
+		n.applyList(list{Instances: []entry{{InstanceID: id, Lifecycle: "Gone"}}}, false)
+		n.forgetRetired(n.clock.Now())
 		if _, known := n.inst.Known(id); !known {
 			t.Fatalf("%s is forgotten at once", id)
 		}
-		n.bury(n.clock.Now() + goneKept + 1)
-		if _, known := n.inst.Known(id); known || n.inst.Hosts() != 1 || len(n.gone)+len(n.address) > 0 {
-			t.Fatalf("%s is kept: %d hosts, %d gone, %d addresses", id, n.inst.Hosts(), len(n.gone), len(n.address))
+		n.forgetRetired(n.clock.Now() + retiredKept + 1)
+		if _, known := n.inst.Known(id); known || n.inst.Hosts() != 1 || len(n.retired)+len(n.address) > 0 {
+			t.Fatalf("%s is kept: %d hosts, %d gone, %d addresses", id, n.inst.Hosts(), len(n.retired), len(n.address))
 		}
 	}
 }
 
-// A kind of trouble is told once in a while with its count, however often it comes.
-func TestTroubles(t *testing.T) {
+// A kind of fault is logged once in a while with its count, however often it comes.
+func TestFaultLog(t *testing.T) {
 	var out bytes.Buffer
 	clock := time.Unix(0, 0)
-	odd := newTroubles(zerolog.New(&out), func() time.Time { return clock })
+	faults := newFaultLog(zerolog.New(&out), func() time.Time { return clock })
 	for range 1000 {
-		odd.count(spoilt("LOAD"), errors.New("x"))
-		odd.count(spoilt("WHATEVER"), nil)
+		faults.count(dropped("LOAD"), errors.New("x"))
+		faults.count(dropped("WHATEVER"), nil)
 		clock = clock.Add(10 * time.Millisecond)
 	}
 	kept.Trace(t, out.String())
--- a/internal/platform/messages.go
+++ b/internal/platform/messages.go
@@ -45,7 +45,7 @@
 	return v, nil
 }
 
-// bounds are what a good report stays within. One that does not is spoilt: it would put a host's figures off for long.
+// bounds are what a good report stays within. One that does not is malformed: it would put a host's figures off for long.
 type bounds struct {
 	meanMs float64
 	proxy  int
--- a/internal/platform/messages_test.go
+++ b/internal/platform/messages_test.go
@@ -31,7 +31,7 @@
 	return inst, boundsOf(s)
 }
 
-// Good and spoilt reports, and what is read of them: a field too few, of another type or out of range spoils its message
+// Good and malformed reports, and what is read of them: a field too few, of another type or out of range drops its message
 // alone, and none reaches the module.
 func TestReports(t *testing.T) {
 	inst, b := testInstance(t)
@@ -75,7 +75,7 @@
 			}
 		}
 		if err != nil {
-			out = "spoilt: " + err.Error()
+			out = "malformed: " + err.Error()
 		}
 		fmt.Fprintf(&now, "%s\n    %s\n", in, out)
 	}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -19,14 +19,14 @@
 )
 
 const (
-	noteMost      = 1024 // what came in and waits for the owner
+	queueMost     = 1024 // what came in and waits for the owner
 	collectorMost = 3    // streams of one zone's collector: an old one may not have been seen to end
 	ownFiles      = 24   // descriptors of the runtime, the logs, the listener, the list
-	probesMost    = 32
-	strangersMin  = 8
-	strangersMax  = 256
+	checksMost    = 32
+	pendingMin    = 8
+	pendingMax    = 256
 
-	listenEvery = 500.0   // ms between looks for silent streams
+	silentEvery = 500.0   // ms between looks for silent streams
 	silentLeast = 3000.0  // ms without an answer, besides twice the longest way lately
 	silentMost  = 20000.0 // ms until a silent connection is ended
 	slowestKept = 0.95    // of the longest way, from look to look
@@ -34,18 +34,18 @@
 
 // Node is a steward in service.
 type Node struct {
-	config *Config
-	log    zerolog.Logger
-	inst   *instance.Instance
-	orders *orders
-	bounds bounds
-	door   *door
-	list   *watcher
-	prober *http1.Client
-	probes chan struct{} // held by those that go on
-	odd    *troubles
-	notes  chan func()
-	done   chan struct{}
+	config    *Config
+	log       zerolog.Logger
+	inst      *instance.Instance
+	orders    *orders
+	bounds    bounds
+	admission *admission
+	list      *watcher
+	checker   *http1.Client
+	checks    chan struct{} // held by those that go on
+	faults    *faultLog
+	events    chan func()
+	done      chan struct{}
 
 	clock clock.Clock
 
@@ -56,9 +56,9 @@
 	address    map[int]string // of hosts
 	wakeAt     float64
 	tracedAt   float64
-	listenedAt float64
+	silentAt   float64
 	slowest    float64         // the longest way to an answer lately, ms
-	gone       map[int]float64 // since when hosts are
+	retired    map[int]float64 // hosts that are gone, and since when
 }
 
 // writer is the decide.Writer of a node: what is not for proxies is done at once.
@@ -79,9 +79,9 @@
 	n, address := w.node, w.node.address[host]
 	go func() {
 		select {
-		case n.probes <- struct{}{}:
-			defer func() { <-n.probes }()
-			n.probe(w.ctx, host, address)
+		case n.checks <- struct{}{}:
+			defer func() { <-n.checks }()
+			n.check(w.ctx, host, address)
 		case <-w.ctx.Done():
 		}
 	}()
@@ -101,25 +101,25 @@
 	if err != nil {
 		return nil, fmt.Errorf("starting the module: %w", err)
 	}
-	n := &Node{config: c, log: log, inst: inst, bounds: boundsOf(c.Settings), prober: &http1.Client{Idle: -1},
-		notes: make(chan func(), noteMost), done: make(chan struct{}), clock: clock.New(),
-		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}, gone: map[int]float64{}}
-	n.odd = newTroubles(log, time.Now)
+	n := &Node{config: c, log: log, inst: inst, bounds: boundsOf(c.Settings), checker: &http1.Client{Idle: -1},
+		events: make(chan func(), queueMost), done: make(chan struct{}), clock: clock.New(),
+		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}, retired: map[int]float64{}}
+	n.faults = newFaultLog(log, time.Now)
 	proxies := *c.Settings.FamilyInfo.DataPlaneSize
 	hosts := len(c.Known.Instances)
-	n.probes = make(chan struct{}, min(max(hosts, 4), probesMost))
-	strangers := strangersMax
+	n.checks = make(chan struct{}, min(max(hosts, 4), checksMost))
+	pending := pendingMax
 	if c.Limits.Sockets > 0 {
-		spare := c.Limits.Sockets - proxies - collectorMost*len(c.Settings.FailureDomains) - cap(n.probes) - ownFiles
-		strangers = min(max(spare, strangersMin), strangersMax)
+		spare := c.Limits.Sockets - proxies - collectorMost*len(c.Settings.FailureDomains) - cap(n.checks) - ownFiles
+		pending = min(max(spare, pendingMin), pendingMax)
 	}
-	n.door = &door{most: strangers}
+	n.admission = &admission{limit: pending}
 	var names []string
 	for _, s := range c.Settings.Services {
 		names = append(names, s.Name)
 	}
 	n.orders = newOrders(names, inst.ID, func() iter.Seq[int] { return maps.Keys(n.streams) })
-	n.list = newWatcher(log, n.odd, inst.Zone, func(l list) { n.put(func() { n.note(l, false) }) })
+	n.list = newWatcher(log, n.faults, inst.Zone, func(l list) { n.post(func() { n.applyList(l, false) }) })
 	return n, nil
 }
 
@@ -132,21 +132,21 @@
 	defer l.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n.log.Info().Str("name", n.config.Name).Stringer("listen", l.Addr()).Int("strangers", n.door.most).
+	n.log.Info().Str("name", n.config.Name).Stringer("listen", l.Addr()).Int("pending_limit", n.admission.limit).
 		Float64("cores", n.config.Limits.Cores).Float64("memory_mb", n.config.Limits.MemoryMB).Int("sockets", n.config.Limits.Sockets).
 		Float64("lines_per_s", *n.config.Settings.FamilyInfo.ChannelRate).Float64("most_waiting", *n.config.Settings.FamilyInfo.MostWaiting).
 		Float64("head", *n.config.Settings.FamilyInfo.PerMessage).Float64("order_price", n.config.Settings.FamilyInfo.OrderPrice).Msg("in service")
 	known := n.config.Known
 	known.Reset = true
 	if err := known.check(n.inst.Zone); err != nil {
-		n.odd.count("the known list is odd and not taken", err)
+		n.faults.count("the known list is malformed and not taken", err)
 		known.Instances = nil
 	}
-	n.note(known, true)
+	n.applyList(known, true)
 	n.config.Known = list{}
 	go n.list.run(ctx, n.config.Discovery)
 	go n.accept(ctx, l)
-	n.own(ctx)
+	n.loop(ctx)
 	close(n.done)
 	return nil
 }
@@ -154,16 +154,16 @@
 // Move follows the list at another address.
 func (n *Node) Move(address string) { n.list.move(address) }
 
-// put gives the owner something to note; it waits where too much does.
-func (n *Node) put(f func()) {
+// post queues an event for the loop, and waits while the queue is full.
+func (n *Node) post(f func()) {
 	select {
-	case n.notes <- f:
+	case n.events <- f:
 	case <-n.done:
 	}
 }
 
-// own is the one goroutine that owns the module. What comes in gathers for a step, then a round decides on all of it.
-func (n *Node) own(ctx context.Context) {
+// loop is the event loop, the one goroutine that owns the module. What comes in gathers for a step, then a round decides on all of it.
+func (n *Node) loop(ctx context.Context) {
 	w := &writer{n.orders, n, ctx}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -171,12 +171,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case f := <-n.notes:
+		case f := <-n.events:
 			f()
 			timer.Reset(n.config.Step)
 			for gathering := true; gathering; {
 				select {
-				case f := <-n.notes:
+				case f := <-n.events:
 					f()
 				case <-timer.C:
 					gathering = false
@@ -187,7 +187,7 @@
 		case <-timer.C:
 		}
 		now := n.clock.Now()
-		n.listen(now)
+		n.expireSilent(now)
 		n.inst.Round(now, w)
 		n.orders.flush(func(p int, message []byte, mark int) {
 			s := n.streams[p]
@@ -231,12 +231,12 @@
 
 // listen looks for streams that have fallen silent: a mark waits for its answer, and nothing was heard since it went out.
 // Such a proxy has left, but its connection is kept for a while: if it speaks again, it is joined again.
-func (n *Node) listen(now float64) {
-	if now < n.listenedAt+listenEvery {
+func (n *Node) expireSilent(now float64) {
+	if now < n.silentAt+silentEvery {
 		return
 	}
-	n.listenedAt, n.slowest = now, n.slowest*slowestKept
-	n.bury(now)
+	n.silentAt, n.slowest = now, n.slowest*slowestKept
+	n.forgetRetired(now)
 	for _, s := range n.streams {
 		if len(s.sent) > 0 && float64(s.heard.Load()) < s.sent[0].at && now > s.sent[0].at+silentLeast+2*n.slowest {
 			n.log.Debug().Int("proxy", s.proxy).Float64("since", s.sent[0].at-now).Msg("a stream is silent")
@@ -251,19 +251,19 @@
 	}
 }
 
-func (n *Node) collect(s *stream, zone int) {
+func (n *Node) addCollector(s *stream, zone int) {
 	if all := n.collectors[zone]; len(all) >= collectorMost {
 		all[0].end()
 	}
 	n.collectors[zone] = append(n.collectors[zone], s)
 }
 
-func (n *Node) uncollect(s *stream, zone int) {
+func (n *Node) removeCollector(s *stream, zone int) {
 	n.collectors[zone] = slices.DeleteFunc(n.collectors[zone], func(c *stream) bool { return c == s })
 }
 
-// take notes a message of a stream that has joined.
-func (n *Node) take(s *stream, kind string, f fields) error {
+// handle notes a message of a stream that has joined.
+func (n *Node) handle(s *stream, kind string, f fields) error {
 	if s.proxy >= 0 && n.silent[s.proxy] == s {
 		n.join(s)
 	}
@@ -299,7 +299,7 @@
 }
 
 // answered notes the answer to a mark, and with it the answers to all marks sent before that are missing: streams keep
-// their order, and an answer may come spoilt.
+// their order, and an answer may come malformed.
 func (n *Node) answered(s *stream, mark int) error {
 	at := slices.IndexFunc(s.sent, func(t stamp) bool { return t.number == mark })
 	if at < 0 {
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -132,8 +132,8 @@
 	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// A proxy joins, gets the table, answers, asks for a sign of life; its next stream ends the old one. What is spoilt on a
-// stream spoils nothing else.
+// A proxy joins, gets the table, answers, sends PING; its next stream ends the old one. What is malformed on a
+// stream is dropped alone.
 func TestStream(t *testing.T) {
 	address, _ := listing(t, oneHost)
 	_, at := serve(t, address, 0)
@@ -142,8 +142,8 @@
 	p.say("SUBSCRIBE proxy 3 zone a weight 21.5 fresh 1")
 	table := "CONFIG replace 1 rows s-1:1 gate 1 again 1 stamp 1"
 	p.want(table)
-	for _, spoilt := range []string{"ACK proxy 3 mark x took_ms 1", "ACK proxy 2 mark 1 took_ms 1", "RATE proxy 3", "NOISE", "RATE proxy 3 class read tries -1 failed 0 span_ms 5"} {
-		p.say(spoilt)
+	for _, malformed := range []string{"ACK proxy 3 mark x took_ms 1", "ACK proxy 2 mark 1 took_ms 1", "RATE proxy 3", "NOISE", "RATE proxy 3 class read tries -1 failed 0 span_ms 5"} {
+		p.say(malformed)
 	}
 	p.say("ACK proxy 3 mark 1 took_ms 10.5")
 	p.say("PING")
@@ -163,12 +163,12 @@
 	c.want("PONG")
 }
 
-// Who is no proxy and no collector is turned away, and more strangers than there is room for keep no proxy from joining.
+// Who is no proxy and no collector is turned away, and more pending connections than there is room for keep no proxy from joining.
 func TestStrangers(t *testing.T) {
 	address, _ := listing(t, oneHost)
-	n, at := serve(t, address, 10) // room for the least number of strangers
+	n, at := serve(t, address, 10) // room for the least number of pending connections
 	var mute []*peer
-	for range 3 * n.door.most {
+	for range 3 * n.admission.limit {
 		mute = append(mute, dial(t, at, ""))
 	}
 	p := dial(t, at, "SUBSCRIBE proxy 0 zone b weight 1 fresh 1")
@@ -190,7 +190,7 @@
 	asks.want("PONG")
 	for _, m := range append(mute, asks) { // also who only asks for a sign of life, or says nothing
 		if !m.ended() {
-			t.Error("a stranger stays")
+			t.Error("a connection that has not joined stays")
 		}
 	}
 	p.say("PING")
@@ -217,7 +217,7 @@
 		}
 	}
 	heard := make(chan bool)
-	n.put(func() {
+	n.post(func() {
 		_, known := n.inst.Known("s-2")
 		heard <- known
 	})
@@ -239,12 +239,12 @@
 		now    float64
 		joined bool
 	}{{3900, true}, {4600, false}} {
-		n.listen(step.now)
+		n.expireSilent(step.now)
 		if (n.streams[2] == s) != step.joined {
 			t.Errorf("at %.0f joined is %v", step.now, !step.joined)
 		}
 	}
-	if err := n.take(s, "RATE", fields{"proxy": "2", "class": "read", "tries": "1", "failed": "0", "span_ms": "1000"}); err != nil {
+	if err := n.handle(s, "RATE", fields{"proxy": "2", "class": "read", "tries": "1", "failed": "0", "span_ms": "1000"}); err != nil {
 		t.Error(err)
 	}
 	if n.streams[2] != s || len(n.silent) != 0 {
