Keep a proxy's newest connection whichever joining is read first

Seen by a forced test on real sockets: a proxy's older connection, accepted first but read later, ended the newer stream and then itself, and the proxy was left with none. Cause: join (node.go) took the order in which joinings reach the event loop for that of the connections, though each stream is read by a goroutine of its own. Connections are now counted as they are accepted, and join keeps the newest. Sound, by reading: reports and mark answers of the older stream meet the check n.streams[proxy] == s or count for the proxy alone. TestOlderStreamJoinsLater failed without it and passes 100 times with -race.

--- a/internal/platform/admission.go
+++ b/internal/platform/admission.go
@@ -53,7 +53,7 @@
 
 // accept takes connections until the listener is closed.
 func (n *Node) accept(ctx context.Context, l net.Listener) {
-	for {
+	for number := uint64(1); ; number++ {
 		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -67,7 +67,7 @@
 			}
 			continue
 		}
-		s := &stream{Conn: c, proxy: -1}
+		s := &stream{Conn: c, number: number, proxy: -1}
 		n.admission.admit(ctx, s)
 		go n.serve(s)
 	}
--- /dev/null
+++ b/internal/platform/crossing_test.go
@@ -0,0 +1,34 @@
+package platform
+
+import "testing"
+
+const (
+	subscribe = "SUBSCRIBE proxy 0 zone a weight 1 fresh 1"
+	firstTold = "CONFIG replace 1 rows s-1:1 gate 1 again 1 stamp 1"
+)
+
+// ask runs a question in the event loop, after all that was queued before.
+func ask[T any](n *Node, question func() T) T {
+	answer := make(chan T, 1)
+	n.post(func() { answer <- question() })
+	return <-answer
+}
+
+// The joining of a proxy's older connection is read after that of its newer one: the newer one stays the proxy's stream.
+func TestOlderStreamJoinsLater(t *testing.T) {
+	address, _ := listing(t, oneHost)
+	n, at := serve(t, address, 0)
+	older := dial(t, at, "PING")
+	older.want("PONG") // it is accepted, and says no more until the newer one has joined
+	newer := dial(t, at, subscribe)
+	newer.want(firstTold)
+	older.say(subscribe)
+	if !older.ended() {
+		t.Error("the older stream goes on")
+	}
+	newer.say("PING")
+	newer.want("PONG")
+	if !ask(n, func() bool { return n.streams[0] != nil }) {
+		t.Error("the proxy has no stream")
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -204,11 +204,18 @@
 	}
 }
 
-// join begins a proxy's stream; an earlier one of the same proxy is over.
+// join begins a proxy's stream. Its connection accepted last is its present one, in whatever order the joinings are read: each
+// stream is read by a goroutine of its own. Earlier ones are over.
 func (n *Node) join(s *stream) {
-	for _, was := range []*stream{n.streams[s.proxy], n.silent[s.proxy]} {
-		if was != nil && was != s {
-			was.end()
+	for _, other := range []*stream{n.streams[s.proxy], n.silent[s.proxy]} {
+		if other != nil && other.number > s.number {
+			s.end()
+			return
+		}
+	}
+	for _, other := range []*stream{n.streams[s.proxy], n.silent[s.proxy]} {
+		if other != nil && other != s {
+			other.end()
 		}
 	}
 	delete(n.silent, s.proxy)
--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -35,8 +35,9 @@
 	writing bool
 	closed  bool
 
-	since time.Time    // when it was taken in
-	heard atomic.Int64 // when bytes last came, in ms
+	number uint64       // counts the connections accepted
+	since  time.Time    // when it was taken in
+	heard  atomic.Int64 // when bytes last came, in ms
 
 	proxy  int // what follows is the owner's: -1 for a collector
 	zone   int
