Keep the good entries of a known list that holds a malformed one

Seen by a test: a steward that starts with one malformed entry in its known list told joining proxies a table with no host. Cause: Run (node.go) dropped the whole known list. Lists that come later are still refused whole, since an older one stands for them; at a start there is none. TestKnownListWithMalformedEntry failed without it and passes 50 times with -race.

--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -1,6 +1,8 @@
 package platform
 
-import "testing"
+import (
+	"testing"
+)
 
 const (
 	subscribe = "SUBSCRIBE proxy 0 zone a weight 1 fresh 1"
@@ -32,3 +34,12 @@
 		t.Error("the proxy has no stream")
 	}
 }
+
+// One malformed entry of the known list must not leave a steward that has just started with no host.
+func TestKnownListWithMalformedEntry(t *testing.T) {
+	c := config(t, "127.0.0.1:1", 0)
+	c.Known.Instances = append([]entry{{InstanceID: "s-0", HostPort: "127.0.0.1:1", Zone: "nowhere", Lifecycle: "Ready"}}, c.Known.Instances...)
+	at := c.Listen
+	run(t, c)
+	dial(t, at, subscribe).want(firstTold)
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -22,7 +22,9 @@
 	queueMost     = 1024 // what came in and waits for the owner
 	collectorMost = 3    // streams of one zone's collector: an old one may not have been seen to end
 	ownFiles      = 24   // descriptors of the runtime, the logs, the listener, the list
-	checksMost    = 32
+	checksLeast   = 16   // health checks at once
+	checksMost    = 256
+	checksPart    = 8 // they may hold an eighth of the descriptors: hosts that hang hold theirs until the time-out
 	pendingMin    = 8
 	pendingMax    = 256
 
@@ -138,10 +140,14 @@
 		Float64("head", *n.config.Settings.FamilyInfo.PerMessage).Float64("order_price", n.config.Settings.FamilyInfo.OrderPrice).Msg("in service")
 	known := n.config.Known
 	known.Reset = true
-	if err := known.check(n.inst.Zone); err != nil {
-		n.faults.count("the known list is malformed and not taken", err)
-		known.Instances = nil
-	}
+	// There is no older list to stand in for this one, so a malformed entry is left out alone.
+	known.Instances = slices.DeleteFunc(known.Instances, func(e entry) bool {
+		err := e.check(n.inst.Zone)
+		if err != nil {
+			n.faults.count("a malformed entry of the known list is dropped", err)
+		}
+		return err != nil
+	})
 	n.applyList(known, true)
 	n.config.Known = list{}
 	go n.list.run(ctx, n.config.Discovery)
