Reckon how many health checks may go on from descriptors, not from the known list

Cause: New (node.go) sized them by the known list and a constant of one deployment. TestChecksAtOnce failed without it.

--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -43,3 +45,18 @@
 	run(t, c)
 	dial(t, at, subscribe).want(firstTold)
 }
+
+// How many health checks may go on at once follows from the descriptors, not from a known list that may be absent or short.
+func TestChecksAtOnce(t *testing.T) {
+	for _, sockets := range []int{0, 256, 1024, 4096} {
+		c := config(t, "127.0.0.1:1", sockets)
+		c.Known.Instances = nil
+		n, err := New(c, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := cap(n.checks); got < 16 {
+			t.Errorf("with %d descriptors %d health checks may go on", sockets, got)
+		}
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -97,6 +97,14 @@
 	}
 }
 
+// checks is how many health checks may go on at once.
+func (l Limits) checks() int {
+	if l.Sockets == 0 {
+		return checksMost
+	}
+	return min(max(l.Sockets/checksPart, checksLeast), checksMost)
+}
+
 // New makes a node.
 func New(c *Config, log zerolog.Logger) (*Node, error) {
 	inst, err := instance.New(c.Settings, c.Seed)
@@ -108,8 +116,7 @@
 		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}, retired: map[int]float64{}}
 	n.faults = newFaultLog(log, time.Now)
 	proxies := *c.Settings.FamilyInfo.DataPlaneSize
-	hosts := len(c.Known.Instances)
-	n.checks = make(chan struct{}, min(max(hosts, 4), checksMost))
+	n.checks = make(chan struct{}, c.Limits.checks())
 	pending := pendingMax
 	if c.Limits.Sockets > 0 {
 		spare := c.Limits.Sockets - proxies - collectorMost*len(c.Settings.FailureDomains) - cap(n.checks) - ownFiles
