Tell a proxy nothing until the first list is there, and take its hosts for old

Seen by a forced test on real sockets (a list service that holds its answer until a proxy has joined): with no known list a joining proxy was sent an empty whole table and so lost the hosts that it held. Cause: join (node.go) told the module of the proxy at once, and the module binds it to what there is. Joinings now wait for the first host; the first list goes in as one of unknown age before it goes in as the present one, since the module takes hosts without a start for new once a list is known. TestJoinBeforeFirstList failed without it and passes 50 times with -race.

--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -1,7 +1,10 @@
 package platform
 
 import (
+	"fmt"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -37,6 +40,38 @@
 	}
 }
 
+// settle waits until a round that the module asked for has passed: it has decided on all that was queued before.
+func settle(n *Node) {
+	was := ask(n, func() float64 { return n.wakeAt })
+	for ask(n, func() float64 { return n.wakeAt }) == was {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A proxy joins before the steward knows of any host: it keeps the table that it holds until the list has come.
+func TestJoinBeforeFirstList(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := config(t, l.Addr().String(), 0)
+	c.Known.Instances = nil
+	n := run(t, c)
+	p := dial(t, c.Listen, subscribe)
+	p.say("PING")
+	p.want("PONG")
+	settle(n)
+	call, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer call.Close()
+	body := `{"generation":7,"reset":true,"instances":[` + oneHost + `]}`
+	fmt.Fprintf(call, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	p.want(firstTold)
+}
+
 // One malformed entry of the known list must not leave a steward that has just started with no host.
 func TestKnownListWithMalformedEntry(t *testing.T) {
 	c := config(t, "127.0.0.1:1", 0)
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -158,8 +160,14 @@
 	return nil
 }
 
-// applyList gives a list to the module; it has been checked.
+// applyList gives a list to the module; it has been checked. The first that brings hosts goes in as one of unknown age before
+// anything else: its hosts without a start are old, not new.
 func (n *Node) applyList(l list, cached bool) {
+	if first := n.inst.Hosts() == 0; first && !cached {
+		n.applyList(l, true)
+	} else if first {
+		defer n.joinEarly()
+	}
 	if l.Reset {
 		for h := range n.inst.Hosts() {
 			n.retire(h)
@@ -187,6 +195,17 @@
 	n.log.Debug().Int64("generation", l.Generation).Bool("whole", l.Reset).Int("entries", len(l.Instances)).Msg("list")
 }
 
+// joinEarly tells the module of the proxies that joined while no host was known.
+func (n *Node) joinEarly() {
+	if n.inst.Hosts() == 0 {
+		return
+	}
+	for _, p := range slices.Sorted(maps.Keys(n.streams)) {
+		s := n.streams[p]
+		n.inst.Joined(p, s.zone, s.weight)
+	}
+}
+
 // retire notes that a host is gone, if it was not before.
 func (n *Node) retire(h int) {
 	if _, before := n.retired[h]; !before && n.inst.ID(h) != "" {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -235,7 +235,9 @@
 	n.streams[s.proxy] = s
 	s.sent = nil
 	n.orders.forget(s.proxy)
-	n.inst.Joined(s.proxy, s.zone, s.weight)
+	if n.inst.Hosts() > 0 { // until one is known the proxy keeps what it holds: a table of ours would be empty
+		n.inst.Joined(s.proxy, s.zone, s.weight)
+	}
 }
 
 func (n *Node) leave(s *stream) {
