Judge a host only by health checks of its present process and address

Seen by a forced test on real sockets: a check that was out while its host moved to another address, or went and came back, ended at the closed old address and counted as a failed check of the new one; two of them withdraw a host. Cause: check (health.go) noted the outcome by index alone. What the list says of a host's address, start and returns now goes with the check, and another outcome counts as a refusal, which proves nothing but lets the next check go.

--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -15,14 +15,20 @@
 
 const resetMost = 3 // calls of a health check: a network that resets connections says nothing of the host
 
-// check asks a host how it is, and notes the outcome.
-func (n *Node) check(ctx context.Context, h int, address string) {
+// check asks a host how it is, and notes the outcome. One that was moved, restarted or gone meanwhile is not judged by what its
+// former process or address had to say: that counts as a refusal, which proves nothing.
+func (n *Node) check(ctx context.Context, h int, asked process) {
 	began := time.Now()
-	how, load, err := healthCheck(ctx, n.checker, address, n.config.CheckTimeout)
+	how, load, err := healthCheck(ctx, n.checker, asked.address, n.config.CheckTimeout)
 	if err != nil {
 		n.log.Debug().Int("host", h).Int("outcome", int(how)).Dur("took", time.Since(began)).Err(err).Msg("health check")
 	}
-	n.post(func() { n.inst.Probed(h, how, load) })
+	n.post(func() {
+		if _, gone := n.retired[h]; gone || n.hosts[h] != asked {
+			how, load = decide.Refused, decide.NoLoad
+		}
+		n.inst.Probed(h, how, load)
+	})
 }
 
 // healthCheck asks a host how it is: only a refused connection proves that nothing is there. A reset one may be the network's doing,
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -22,6 +22,13 @@
 	StartedAtMs                           float64
 }
 
+// process is what a host is at present: a health check judges only the one that it was sent to.
+type process struct {
+	address string
+	started float64
+	returns int // so often it was gone and came back
+}
+
 // list is the whole list of hosts (Reset), or what changed of it.
 type list struct {
 	Generation int64
@@ -185,11 +192,14 @@
 			h = n.inst.Host(e.InstanceID)
 		}
 		zone, _ := n.inst.Zone(e.Zone)
-		if n.address[h] = e.HostPort; phase == decide.Gone {
+		returns := n.hosts[h].returns
+		if phase == decide.Gone {
 			n.retire(h)
-		} else {
+		} else if _, back := n.retired[h]; back {
 			delete(n.retired, h)
+			returns++
 		}
+		n.hosts[h] = process{e.HostPort, e.StartedAtMs, returns}
 		n.inst.Entry(h, zone, phase, e.Weight, e.StartedAtMs)
 	}
 	n.log.Debug().Int64("generation", l.Generation).Bool("whole", l.Reset).Int("entries", len(l.Instances)).Msg("list")
@@ -218,7 +228,7 @@
 	for h, since := range n.retired {
 		if now > since+retiredKept && n.inst.Drop(h) {
 			delete(n.retired, h)
-			delete(n.address, h)
+			delete(n.hosts, h)
 		}
 	}
 }
--- a/internal/platform/list_test.go
+++ b/internal/platform/list_test.go
@@ -42,8 +42,8 @@
 			t.Fatalf("%s is forgotten at once", id)
 		}
 		n.forgetRetired(n.clock.Now() + retiredKept + 1)
-		if _, known := n.inst.Known(id); known || n.inst.Hosts() != 1 || len(n.retired)+len(n.address) > 0 {
-			t.Fatalf("%s is kept: %d hosts, %d gone, %d addresses", id, n.inst.Hosts(), len(n.retired), len(n.address))
+		if _, known := n.inst.Known(id); known || n.inst.Hosts() != 1 || len(n.retired)+len(n.hosts) > 0 {
+			t.Fatalf("%s is kept: %d hosts, %d gone, %d addresses", id, n.inst.Hosts(), len(n.retired), len(n.hosts))
 		}
 	}
 }
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -55,7 +55,7 @@
 	streams    map[int]*stream
 	silent     map[int]*stream // that fell silent, by proxy
 	collectors map[int][]*stream
-	address    map[int]string // of hosts
+	hosts      map[int]process
 	wakeAt     float64
 	tracedAt   float64
 	silentAt   float64
@@ -78,12 +78,12 @@
 func (w *writer) Log(text string) { w.node.log.Info().Msg(text) }
 
 func (w *writer) Probe(host int) {
-	n, address := w.node, w.node.address[host]
+	n, asked := w.node, w.node.hosts[host]
 	go func() {
 		select {
 		case n.checks <- struct{}{}:
 			defer func() { <-n.checks }()
-			n.check(w.ctx, host, address)
+			n.check(w.ctx, host, asked)
 		case <-w.ctx.Done():
 		}
 	}()
@@ -113,7 +113,7 @@
 	}
 	n := &Node{config: c, log: log, inst: inst, bounds: boundsOf(c.Settings), checker: &http1.Client{Idle: -1},
 		events: make(chan func(), queueMost), done: make(chan struct{}), clock: clock.New(),
-		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, address: map[int]string{}, retired: map[int]float64{}}
+		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, hosts: map[int]process{}, retired: map[int]float64{}}
 	n.faults = newFaultLog(log, time.Now)
 	proxies := *c.Settings.FamilyInfo.DataPlaneSize
 	n.checks = make(chan struct{}, c.Limits.checks())
