Count a line against the channel until its proxy answers, not at half its pace

At fault: publish (decide.go), before: min(queued, ordered-through), where queued drains at half the pace whatever the answers say. Now each proxy's messages count until it answers or leaves, less what is on its way; what is older than a full channel at a tenth of the pace has left it. positions, batches and the drained estimate are gone.

--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -165,7 +165,7 @@
 	case wire.Disconnected:
 		s.Left(int(*e.Px))
 	case wire.Installed:
-		s.Answered(int(*e.Number))
+		s.Answered(int(*e.Px), int(*e.Number))
 	case wire.Stats:
 		if _, err := place("zone", e, n.Zone, e.Area); err != nil {
 			return err
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,6 +43,7 @@
 	dealtFirst   = 30000.0 // ms that tables of a few hosts are kept under strain
 	idleQueue    = 0.5     // busy cores of a server that reports no waiting transaction
 	slowest      = 0.5     // the channel is taken to run at this part of its pace
+	crawl        = 0.1     // and never slower than so: what is not answered by then has left it
 	probePart    = 0.003   // of the result may go into the price of probes
 	probeSoon    = 300.0   // ms until a host that left a probe unanswered is asked again
 	doubtPart    = 0.5     // of its weight is left to a host for each unanswered probe
@@ -66,7 +67,6 @@
 	easeUnder    = 0.8  // busy cores under which the level rises
 	levelLeast   = 0.1
 	unlimited    = 1e6 // a level where shares are not heeded
-	marksKept    = 4000
 )
 
 // New makes the steward of an instance that has just started.
@@ -632,27 +632,24 @@
 
 // open tells whether most proxies that got the last weights answered, or 2 s have passed.
 func (s *Steward) open() bool {
-	for _, b := range s.batches {
-		if b.number == s.mark && float64(b.answers) < ackPart*float64(b.asked) {
-			return s.now >= s.markAt+ackWait
-		}
-	}
-	return true
+	return float64(s.answers) >= ackPart*float64(s.asked) || s.now >= s.markAt+ackWait
 }
 
 // publish writes what changed, as much as the channel takes: removals, then what guards cold and withdrawn
 // servers, joins, and weights, the largest changes first, once most proxies have the last ones and the
 // price of orders allows. Each may fill a part of the caps; what does not fit waits. In the channel is all
-// that was not answered, or less if it must have left at the least pace.
+// that joined proxies have not answered, less as much as they answered within the last way of a message:
+// that is taken to be on its way now. What is older than a full channel at the least pace has left it.
 func (s *Steward) publish(w Writer, c Channel) {
-	passed := (s.now - s.queuedAt) / 1000 * c.LinesPerS
-	s.queued, s.queuedAt = math.Max(0, s.queued-passed*slowest), s.now
-	s.purse = math.Min(c.LinesPerS, s.purse+passed*ordersPart/math.Max(c.Price, ordersPart))
-	b := &batch{before: math.Min(s.queued, s.ordered-s.through), head: c.Head + 1 + float64(len(s.shares)),
-		met: make([]bool, len(s.proxies))}
-	b.queue = b.before
+	passed := s.now - s.filledAt
+	s.filledAt = s.now
+	s.purse = math.Min(c.LinesPerS, s.purse+passed/1000*c.LinesPerS*ordersPart/math.Max(c.Price, ordersPart))
+	s.arriving *= math.Exp(-passed / math.Max(c.Late, 1))
 	lines := make([]int, s.fleet.Zones+1)
-	bound, unbound, most, fair := s.tally(c.MessagesOver)
+	bound, unbound, most, fair := s.tally(c.MessagesOver, c.Late+c.MostWaiting/(c.LinesPerS*crawl)*1000)
+	b := &batch{before: math.Max(0, s.waiting-s.arriving), head: c.Head + 1 + float64(len(s.shares)),
+		cost: make([]float64, len(s.proxies))}
+	b.queue = b.before
 	if s.number == 0 && unbound == 0 {
 		return
 	}
@@ -714,19 +711,18 @@
 			}
 		}
 		if b.queue > start {
-			s.mark, s.markAt = b.number, s.now
+			s.mark, s.markAt, s.asked, s.answers = b.number, s.now, b.asked, 0
 		}
 	}
-	if added := b.queue - b.before; added > 0 {
+	if b.queue > b.before {
 		w.Mark(b.number)
-		b.before, b.queue = s.ordered, added
-		s.batches, s.number = append(s.batches, *b), b.number
-		s.batches = s.batches[max(0, len(s.batches)-marksKept):] // proxies that never answer cost no more
-		s.queued, s.ordered = s.queued+added, s.ordered+added
+		s.number = b.number
 	}
-	for i, met := range b.met {
-		if met {
-			s.proxies[i].sent = append(s.proxies[i].sent, s.now)
+	for i, cost := range b.cost {
+		if p := &s.proxies[i]; cost > 0 {
+			p.sent = append(p.sent, s.now)
+			p.unanswered = append(p.unanswered, message{b.number, cost, s.now})
+			s.waiting += cost
 		}
 	}
 }
@@ -807,9 +803,8 @@
 				p.hand = p.hand[1:]
 			}
 			if n := s.deal(w, i, fair); n > 0 {
-				b.reach(i, float64(n))
-				if !p.own {
-					b.queue++
+				if b.reach(i, float64(n)); !p.own {
+					b.reach(i, 1)
 					w.Bind(i, s.own(i), 0)
 				}
 				p.bound, p.own = true, true
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -299,7 +299,7 @@
 	b.Heard(9, 0, 0, 0, 0, NoLoad)
 	b.Heard(0, 0, 5, 0, 0, NoLoad)
 	b.Usage(0, 0, 0, 0)
-	b.Answered(60000)
+	b.Answered(0, 60000)
 	b.Probed(8, Unreachable, NoLoad)
 	b.run(3000, nil)
 	b.WholeList(false)
@@ -426,7 +426,7 @@
 	b.Entry(0, 0, Ready, 1, 0)
 	b.Entry(2, 0, Ready, 1, 400)
 	b.now = 1050
-	b.Answered(7)
+	b.Answered(0, 7)
 	b.Round(b.now, b)
 	b.check(t)
 }
--- a/decide/helper_test.go
+++ b/decide/helper_test.go
@@ -96,8 +96,8 @@
 				}
 			}
 		}
-		for range b.proxies {
-			b.Answered(b.marks)
+		for p := range b.proxies {
+			b.Answered(p, b.marks)
 		}
 		b.Round(b.now, b)
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -49,6 +49,13 @@
 	hand               []int     // the hosts in its own table
 	sent               []float64 // times of messages to it
 	held, came, span   float64   // their weight; transactions that came lately, in this time
+	unanswered         []message // written to it, oldest first
+}
+
+// message counts against the channel until its proxy answers its mark or a later one.
+type message struct {
+	number    int
+	lines, at float64
 }
 
 // due is work for a later time.
@@ -57,12 +64,12 @@
 	do func(Writer)
 }
 
-// batch is what one round orders: lines that wait before and after it, the proxies it reaches, a head for
-// each, and answers to its mark.
+// batch is what one round orders: lines that wait before and after it, and what each proxy costs, a head for
+// each that it reaches.
 type batch struct {
-	number, asked, answers int
-	before, queue, head    float64
-	met                    []bool
+	number, asked       int
+	before, queue, head float64
+	cost                []float64
 }
 
 // Steward decides for one instance.
@@ -112,12 +119,13 @@
 	keep                 int
 	stormNext            float64
 
-	number, mark             int // of the last batch; of the last that told weights
-	markAt, queuedAt         float64
-	urgentAt                 float64
-	queued, ordered, through float64 // lines waiting at the least pace; ordered; known to have left
-	purse                    float64 // lines that weights may cost
-	batches                  []batch
+	number, mark     int // of the last batch; of the last that told weights
+	asked, answers   int // proxies that were sent that one; that answered it
+	markAt, filledAt float64
+	urgentAt         float64
+	waiting          float64 // lines that joined proxies have not answered
+	arriving         float64 // lines answered within the last way of a message, fading
+	purse            float64 // lines that weights may cost
 }
 
 // grown gives the list with at least n entries, new ones as fresh.
@@ -159,8 +167,10 @@
 
 func (s *Steward) Left(p int) {
 	if p < len(s.proxies) && s.proxies[p].joined {
-		s.proxies[p].joined = false
+		q := &s.proxies[p]
+		q.joined = false
 		s.joined--
+		s.gone(q, len(q.unanswered)) // what waits for it is lost
 	}
 }
 
@@ -223,24 +233,32 @@
 	s.median = median
 }
 
-// Answered notes an answer to a mark. The channel keeps its order: what was ordered before has left it.
-func (s *Steward) Answered(number int) {
-	for i := range s.batches {
-		if b := &s.batches[i]; b.number == number {
-			b.answers++
-			part := math.Min(1, float64(b.answers)/float64(b.asked))
-			s.through = math.Max(s.through, b.before+b.queue*part)
-			s.batches = s.batches[i:]
-			return
+// Answered notes a proxy's answer to a mark. The channel keeps its order: what was written to it before has left.
+func (s *Steward) Answered(p, number int) {
+	if p >= len(s.proxies) {
+		return
+	}
+	q, was := &s.proxies[p], s.waiting
+	s.gone(q, 1+slices.IndexFunc(q.unanswered, func(m message) bool { return m.number == number }))
+	s.arriving += was - s.waiting
+}
+
+// gone takes a proxy's n oldest messages out of the channel, by an answer, its leaving or their age.
+func (s *Steward) gone(q *proxy, n int) {
+	for _, m := range q.unanswered[:n] {
+		if s.waiting -= m.lines; q.joined && m.number == s.mark {
+			s.answers++
 		}
 	}
+	q.unanswered = slices.Delete(q.unanswered, 0, n)
 }
 
 // reach counts lines to a proxy.
 func (b *batch) reach(p int, lines float64) {
-	if !b.met[p] {
-		b.met[p], b.asked, lines = true, b.asked+1, lines+b.head
+	if b.cost[p] == 0 {
+		b.asked, lines = b.asked+1, lines+b.head
 	}
+	b.cost[p] += lines
 	b.queue += lines
 }
 
@@ -307,14 +325,17 @@
 
 // tally counts the proxies that are bound and those that wait, and for each server the proxies that hold it
 // and the traffic that hands bring it. It gives the most messages that one proxy was sent lately, and the
-// traffic for each part of weight, too.
-func (s *Steward) tally(over float64) (bound, unbound, most int, fair float64) {
+// traffic for each part of weight, too. Messages older than so much have left the channel without an answer.
+func (s *Steward) tally(over, oldest float64) (bound, unbound, most int, fair float64) {
 	shared, traffic, weight := make([]int, s.fleet.Zones+1), 0.0, 1e-9
 	for i := range s.proxies {
 		if p := &s.proxies[i]; p.joined {
 			for len(p.sent) > 0 && p.sent[0] < s.now-over {
 				p.sent = p.sent[1:]
 			}
+			for len(p.unanswered) > 0 && p.unanswered[0].at < s.now-oldest {
+				s.gone(p, 1)
+			}
 			most = max(most, len(p.sent))
 			traffic += p.rate
 			if !p.bound {
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -328,9 +328,7 @@
 		return fmt.Errorf("mark %d does not wait for an answer", mark)
 	}
 	if n.streams[s.proxy] == s {
-		for _, t := range s.sent[:at+1] {
-			n.inst.Answered(t.number)
-		}
+		n.inst.Answered(s.proxy, mark)
 		n.slowest = max(n.slowest, n.clock.Now()-s.sent[at].at)
 	}
 	s.sent = slices.Delete(s.sent, 0, at+1)
--- a/steward/acks.go
+++ b/steward/acks.go
@@ -14,7 +14,13 @@
 
 // answers holds the answers to marks back until all that was ordered before has left the channel: the module
 // takes an answer as proof of that, but here withdrawals go in front of weights.
-type answers struct{ early []mark }
+type answers struct{ early []answer }
+
+// answer is a proxy's to a mark.
+type answer struct {
+	mark
+	proxy int
+}
 
 // tag names a version in a steward's life.
 func (s *Steward) tag(number int64) string { return s.fleet.Life + "-" + strconv.FormatInt(number, 10) }
@@ -55,7 +61,9 @@
 	if newest > m.acked {
 		for i := range m.versions {
 			if v := &m.versions[i]; v.number <= newest {
-				s.answered.early = append(s.answered.early, v.marks...)
+				for _, k := range v.marks {
+					s.answered.early = append(s.answered.early, answer{k, m.index})
+				}
 				v.marks = nil
 			}
 		}
@@ -71,11 +79,11 @@
 	if len(a.early) == 0 {
 		return
 	}
-	slices.SortStableFunc(a.early, func(x, y mark) int { return int(x.round - y.round) })
+	slices.SortStableFunc(a.early, func(x, y answer) int { return int(x.round - y.round) })
 	waiting := s.channel.oldest()
 	n := 0
 	for n < len(a.early) && a.early[n].round <= waiting {
-		s.module.Answered(a.early[n].number)
+		s.module.Answered(a.early[n].proxy, a.early[n].number)
 		n++
 	}
 	a.early = append(a.early[:0], a.early[n:]...)
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -241,7 +241,7 @@
 	d.run(100)
 	m := d.members.byName["q"]
 	d.channel.order(m, 5, false, mark{d.tables.round, 77})
-	d.answered.early = append(d.answered.early, mark{d.tables.round + 1, 78})
+	d.answered.early = append(d.answered.early, answer{mark{d.tables.round + 1, 78}, m.index})
 	d.tellAnswers()
 	d.say("while a message of an earlier round waits: %d held back", len(d.answered.early))
 	d.run(100)
