Bound connections by the descriptors there are, and end with nothing left running

Two faults of one mechanism, who owns a connection, each seen by a forced test on real sockets. Now all connections are counted as they open and end (admission.go): health checks and own files keep theirs, half is for those that have joined, a silent stream gives way first, then the oldest that has not joined; where streams in use hold all, a newcomer is closed at once and may find another steward. End: Run returned while streams were read, the list was called and checks went on. It now ends the connections and waits for all it started.

--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,7 +27,7 @@
 	checksMost    = 256
 	checksPart    = 8 // they may hold an eighth of the descriptors: hosts that hang hold theirs until the time-out
 	pendingMin    = 8
-	pendingMax    = 256
+	unbounded     = 1 << 16 // connections where no limit is set
 
 	silentEvery = 500.0   // ms between looks for silent streams
 	silentLeast = 3000.0  // ms without an answer, besides twice the longest way lately
@@ -48,6 +49,7 @@
 	faults    *faultLog
 	events    chan func()
 	done      chan struct{}
+	work      sync.WaitGroup // all goroutines but the event loop
 
 	clock clock.Clock
 
@@ -79,14 +81,14 @@
 
 func (w *writer) Probe(host int) {
 	n, asked := w.node, w.node.hosts[host]
-	go func() {
+	n.work.Go(func() {
 		select {
 		case n.checks <- struct{}{}:
 			defer func() { <-n.checks }()
 			n.check(w.ctx, host, asked)
 		case <-w.ctx.Done():
 		}
-	}()
+	})
 }
 
 // Apply sets the process by the machine's limits.
@@ -105,6 +107,14 @@
 	return min(max(l.Sockets/checksPart, checksLeast), checksMost)
 }
 
+// connections is how many may be open: what the health checks and the steward's own files leave.
+func (l Limits) connections() int {
+	if l.Sockets == 0 {
+		return unbounded
+	}
+	return max(l.Sockets-l.checks()-ownFiles, 2*pendingMin)
+}
+
 // New makes a node.
 func New(c *Config, log zerolog.Logger) (*Node, error) {
 	inst, err := instance.New(c.Settings, c.Seed)
@@ -115,14 +125,8 @@
 		events: make(chan func(), queueMost), done: make(chan struct{}), clock: clock.New(),
 		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, hosts: map[int]process{}, retired: map[int]float64{}}
 	n.faults = newFaultLog(log, time.Now)
-	proxies := *c.Settings.FamilyInfo.DataPlaneSize
 	n.checks = make(chan struct{}, c.Limits.checks())
-	pending := pendingMax
-	if c.Limits.Sockets > 0 {
-		spare := c.Limits.Sockets - proxies - collectorMost*len(c.Settings.FailureDomains) - cap(n.checks) - ownFiles
-		pending = min(max(spare, pendingMin), pendingMax)
-	}
-	n.admission = &admission{limit: pending}
+	n.admission = newAdmission(c.Limits.connections())
 	var names []string
 	for _, s := range c.Settings.Services {
 		names = append(names, s.Name)
@@ -141,7 +145,7 @@
 	defer l.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n.log.Info().Str("name", n.config.Name).Stringer("listen", l.Addr()).Int("pending_limit", n.admission.limit).
+	n.log.Info().Str("name", n.config.Name).Stringer("listen", l.Addr()).Int("connections", n.admission.limit).
 		Float64("cores", n.config.Limits.Cores).Float64("memory_mb", n.config.Limits.MemoryMB).Int("sockets", n.config.Limits.Sockets).
 		Float64("lines_per_s", *n.config.Settings.FamilyInfo.ChannelRate).Float64("most_waiting", *n.config.Settings.FamilyInfo.MostWaiting).
 		Float64("head", *n.config.Settings.FamilyInfo.PerMessage).Float64("order_price", n.config.Settings.FamilyInfo.OrderPrice).Msg("in service")
@@ -157,10 +161,13 @@
 	})
 	n.applyList(known, true)
 	n.config.Known = list{}
-	go n.list.run(ctx, n.config.Discovery)
-	go n.accept(ctx, l)
+	n.work.Go(func() { n.list.run(ctx, n.config.Discovery) })
+	n.work.Go(func() { n.accept(ctx, l) })
 	n.loop(ctx)
 	close(n.done)
+	l.Close()
+	n.admission.close()
+	n.work.Wait()
 	return nil
 }
 
@@ -232,6 +239,7 @@
 		}
 	}
 	delete(n.silent, s.proxy)
+	n.admission.joined(s)
 	n.streams[s.proxy] = s
 	s.sent = nil
 	n.orders.forget(s.proxy)
@@ -264,6 +272,7 @@
 			n.log.Debug().Int("proxy", s.proxy).Float64("since", s.sent[0].at-now).Msg("a stream is silent")
 			n.leave(s)
 			n.silent[s.proxy] = s
+			n.admission.fellSilent(s)
 		}
 	}
 	for _, s := range n.silent {
--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -15,6 +15,7 @@
 const (
 	joinTimeout   = 1500 * time.Millisecond // for a connection to join: a client owes its first message within 1 s
 	pendingLeast  = 150 * time.Millisecond  // that each gets, however many come
+	evictWait     = 5 * time.Millisecond    // until a connection that had to give way has let go of its descriptor
 	joinBytesMost = 4 << 10                 // bytes of a message before the joining
 	messageMost   = 1 << 20
 	wordsMost     = 256
@@ -35,7 +36,8 @@
 	writing bool
 	closed  bool
 
-	number uint64       // counts the connections accepted
+	number uint64 // counts the connections accepted
+	work   *sync.WaitGroup
 	since  time.Time    // when it was taken in
 	heard  atomic.Int64 // when bytes last came, in ms
 
@@ -65,7 +67,7 @@
 	s.queue, s.queued = append(s.queue, b), s.queued+len(b)
 	if !s.writing {
 		s.writing = true
-		go s.drain()
+		s.work.Go(s.drain)
 	}
 }
 
@@ -98,34 +100,44 @@
 	s.Conn.Close()
 }
 
-// serve reads a connection: first its joining, then what it reports.
+// serve reads a connection until it ends. Its descriptor is free before the event loop hears of the end.
 func (n *Node) serve(s *stream) {
-	defer s.end()
+	left := n.read(s)
+	s.end()
+	n.admission.release(s)
+	if left != nil {
+		n.post(left)
+	}
+}
+
+// read takes first a connection's joining, then what it reports; it gives what the event loop is to do when it has ended.
+func (n *Node) read(s *stream) (left func()) {
 	r := resp.NewReader(s.Conn)
 	s.SetReadDeadline(time.Now().Add(joinTimeout))
 	kind, f := n.awaitJoin(r, s)
-	n.admission.release(s)
 	switch kind {
 	case "SUBSCRIBE":
 		proxy, zone, weight, err := n.bounds.joining(f, n.inst)
 		if err != nil {
 			n.faults.count("a joining makes no sense", err)
-			return
+			return nil
 		}
 		s.proxy, s.zone, s.weight = proxy, zone, weight
+		n.admission.joined(s)
 		n.post(func() { n.join(s) })
-		defer n.post(func() { n.leave(s) })
+		left = func() { n.leave(s) }
 	case "SOURCE":
 		zone, ok := n.inst.Zone(f["zone"])
 		if !ok {
 			n.faults.count("a joining makes no sense", fmt.Errorf("zone is %.20q", f["zone"]))
-			return
+			return nil
 		}
+		n.admission.joined(s)
 		n.post(func() { n.addCollector(s, zone) })
-		defer n.post(func() { n.removeCollector(s, zone) })
+		left = func() { n.removeCollector(s, zone) }
 	default:
 		n.faults.count("a connection does not join", nil)
-		return
+		return nil
 	}
 	s.SetReadDeadline(time.Time{})
 	var words []string
@@ -136,7 +148,7 @@
 				n.faults.count("a stream goes on with what can't be read", err)
 			}
 			n.log.Debug().Err(err).Int("proxy", s.proxy).Msg("a stream ends")
-			return
+			return left
 		}
 		s.heard.Store(int64(n.clock.Now()))
 		if len(words) == 1 && words[0] == "PING" {
