Take no list that is older than the one held, nor changes where the whole is due

Seen by forced tests on real sockets: after a move an agent that had yet to catch up brought back a host that had gone; changes, {}, null and answers without generation or reset were taken for the whole list or for nothing new, and the watch went on from generation 0 or -1. At fault: follow and call (list.go), which kept whatever generation came and checked entries only. An older list is now refused and the whole list asked for again, with the backoff of other failures, until it has caught up or has stayed older for 6 s, the time by which a change counts as told: then it counts anew and is believed.

--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -46,6 +47,7 @@
 	listTimeout  = time.Second            // for the whole list
 	emptyDelay   = 50 * time.Millisecond  // between watches that end at once with nothing new
 	retiredKept  = 30000.0                // ms that a host that is gone is remembered
+	olderMost    = 6 * time.Second        // what the list has to tell counts as told by then, wherever it is on its way
 	backoffFirst = 50 * time.Millisecond
 	backoffMost  = 400 * time.Millisecond
 )
@@ -57,11 +59,16 @@
 	faults *faultLog
 	zone   func(string) (int, bool)
 	moved  chan string // the newest address
-	tell   func(list)  // takes what came, in order
+
+	held       int64     // the generation that was told last
+	olderSince time.Time // when an older one first came
+	olderMost  time.Duration
+
+	tell func(list) // takes what came, in order
 }
 
 func newWatcher(log zerolog.Logger, faults *faultLog, zone func(string) (int, bool), tell func(list)) *watcher {
-	return &watcher{client: &http1.Client{Idle: 1}, log: log, faults: faults, zone: zone, moved: make(chan string, 1), tell: tell}
+	return &watcher{client: &http1.Client{Idle: 1}, log: log, faults: faults, zone: zone, moved: make(chan string, 1), tell: tell, olderMost: olderMost}
 }
 
 // move names another address; the newest counts.
@@ -96,19 +103,23 @@
 	}
 }
 
+// follow asks for the whole list, then for what changes, until the context ends.
 func (w *watcher) follow(ctx context.Context, address string) {
-	version, known, wait := int64(0), false, backoffFirst
+	whole, wait := true, backoffFirst
 	for ctx.Err() == nil {
 		target, most := "/catalog/members", listTimeout
-		if known {
-			target = fmt.Sprintf("%s?from=%d&hold_ms=%d", target, version, watchHold.Milliseconds())
+		if !whole {
+			target = fmt.Sprintf("%s?from=%d&hold_ms=%d", target, w.held, watchHold.Milliseconds())
 			most = watchHold + watchSlack
 		}
 		began := time.Now()
 		l, err := w.call(ctx, address, target, most)
+		if err == nil {
+			err = w.judge(l, whole)
+		}
 		pause := wait
 		if err == nil {
-			known, version, wait, pause = true, l.Generation, backoffFirst, 0
+			whole, wait, pause = false, backoffFirst, 0
 			if l.Reset || len(l.Instances) > 0 {
 				w.tell(l)
 			} else if time.Since(began) < emptyDelay { // an agent that does not hold watches must not be asked in a loop
@@ -119,6 +130,7 @@
 		} else {
 			w.faults.count("list call failed", err)
 			wait = min(2*wait, backoffMost)
+			whole = whole || errors.Is(err, errOlder)
 		}
 		select {
 		case <-ctx.Done():
@@ -127,23 +139,64 @@
 	}
 }
 
+var errOlder = errors.New("the list is older than the one held")
+
+// judge tells whether a list that is sound by itself follows on the one that is held, and notes its generation. An agent that
+// has yet to catch up, after a move, a restart or a cut, answers with an older one: to take it would bring back hosts that have
+// drained. One that stays older for longer than a change may be under way has begun to count anew, and is believed.
+func (w *watcher) judge(l list, whole bool) error {
+	if whole && !l.Reset {
+		return errors.New("only changes came where the whole list is due")
+	}
+	if l.Generation < w.held {
+		if w.olderSince.IsZero() {
+			w.olderSince = time.Now()
+		}
+		if !l.Reset || time.Since(w.olderSince) < w.olderMost {
+			return fmt.Errorf("%w: generation %d after %d", errOlder, l.Generation, w.held)
+		}
+		w.log.Warn().Int64("generation", l.Generation).Int64("held", w.held).Msg("the list counts anew")
+	}
+	w.held, w.olderSince = l.Generation, time.Time{}
+	return nil
+}
+
 func (w *watcher) call(ctx context.Context, address, target string, most time.Duration) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
-	var l list
 	r, err := w.client.Call(ctx, "GET", address, target, nil)
 	if err != nil {
-		return l, fmt.Errorf("calling the list: %w", err)
+		return list{}, fmt.Errorf("calling the list: %w", err)
 	}
 	if r.Status != 200 {
-		return l, fmt.Errorf("the list answers %d", r.Status)
+		return list{}, fmt.Errorf("the list answers %d", r.Status)
 	}
-	if err := json.Unmarshal(r.Body, &l); err != nil {
-		return l, fmt.Errorf("reading the list: %w", err)
+	l, err := readList(r.Body)
+	if err != nil {
+		return list{}, fmt.Errorf("reading the list: %w", err)
 	}
 	return l, l.check(w.zone)
 }
 
+// readList decodes an answer; one without a generation, or that does not say whether it is whole, is none.
+func readList(body []byte) (list, error) {
+	var raw struct {
+		Generation *int64
+		Reset      *bool
+		Instances  []entry
+	}
+	if err := json.Unmarshal(body, &raw); err != nil {
+		return list{}, err
+	}
+	if raw.Generation == nil || *raw.Generation < 0 {
+		return list{}, errors.New("generation is missing or below 0")
+	}
+	if raw.Reset == nil {
+		return list{}, errors.New("reset is missing")
+	}
+	return list{*raw.Generation, *raw.Reset, raw.Instances}, nil
+}
+
 // check refuses a list whole where any of it makes no sense: half a list would take hosts for gone.
 func (l list) check(zone func(string) (int, bool)) error {
 	for _, e := range l.Instances {
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -61,13 +61,21 @@
 	return c
 }
 
+func quiet() zerolog.Logger { return zerolog.Nop() }
+
 // run runs a node on loopback until the test ends.
 func run(t *testing.T, c *Config) *Node {
 	t.Helper()
-	n, err := New(c, zerolog.Nop())
+	n, err := New(c, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
+	start(t, n)
+	return n
+}
+
+// start runs a node that was made.
+func start(t *testing.T, n *Node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(ctx) }()
@@ -77,7 +85,6 @@
 			t.Error(err)
 		}
 	})
-	return n
 }
 
 // serve runs a node by config.
