Keep no connection on which a server has said more than it was asked

Seen by a forced test on a real socket: a server that answers twice to one call had its second answer taken for that of the next call, and so on for as long as the connection was kept. At fault: exchange (internal/http1/client.go). TestClientLeftover failed without it and passes 100 times with -race.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -103,7 +103,7 @@
 		if !stop() && err == nil {
 			again = false // the deadline passed just now
 		}
-		if err == nil && again {
+		if err == nil && again && k.reader.buf.Buffered() == 0 { // what is left over would be taken for the next answer
 			c.keep(address, k)
 		} else {
 			k.net.Close()
