Start on settings of another kind, name what makes no sense, and take limits anew on SIGHUP

Seen by tests: settings without zones, and a known list with an entry of another type, kept a steward from its start; limits that are absent or 0 meant one core, and a memory limit once set stayed; settings below 0 (step, late, dial time and others), classes or zones named twice and a fleet larger than the wire's numbers were taken and would have gone wrong later. At fault: ReadSettings (internal/wire/settings.go), parseConfig and Apply (internal/platform). A deployment without zones is one zone; the range of each setting in use is checked and named. SIGHUP applied cores and memory but not descriptors, and nothing said that other settings wait for a restart: Reload takes the list's address and all limits over and logs one line, with what takes a restart.

--- a/cmd/barleysail/node.go
+++ b/cmd/barleysail/node.go
@@ -62,8 +62,7 @@
 	for range rereadTries {
 		var cfg *platform.Config
 		if cfg, err = platform.LoadConfig(file); err == nil {
-			cfg.Limits.Apply()
-			n.Move(cfg.Discovery)
+			n.Reload(cfg)
 			return
 		}
 		time.Sleep(rereadWait)
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -29,6 +30,7 @@
 	Limits                  Limits
 	Known                   list
 	Settings                *wire.Settings
+	settings                []byte        // as they were written
 	Step                    time.Duration // the least time between rounds
 	CheckTimeout            time.Duration // for a probe
 }
@@ -56,13 +58,12 @@
 	var raw struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        Limits
-		Known                         list
-		Settings                      json.RawMessage
+		Known, Settings               json.RawMessage
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits, Known: raw.Known}
+	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits, Known: knownList(raw.Known)}
 	for what, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return nil, fmt.Errorf("%s is no address: %w", what, err)
@@ -78,6 +79,9 @@
 	if c.Settings, err = wire.ReadSettings(raw.Settings); err != nil {
 		return nil, err
 	}
+	var settings bytes.Buffer
+	json.Compact(&settings, raw.Settings)
+	c.settings = settings.Bytes()
 	dial := defaultDial
 	if us := c.Settings.Limits.DialTimeoutUs; us > 0 {
 		dial = time.Duration(us * 1e3)
@@ -94,3 +98,34 @@
 	c.CheckTimeout = max(time.Duration(due/2*1e3), dial)
 	return c, nil
 }
+
+// knownList decodes the list that a steward starts from. What can't be read of it stands as an empty entry, to be dropped and
+// told with those that make no sense: nothing in an old list may keep a steward from its start.
+func knownList(text json.RawMessage) (l list) {
+	var raw struct{ Instances []json.RawMessage }
+	if len(text) > 0 && json.Unmarshal(text, &raw) != nil {
+		return list{Instances: []entry{{}}}
+	}
+	for _, text := range raw.Instances {
+		var e entry
+		if json.Unmarshal(text, &e) != nil {
+			e = entry{}
+		}
+		l.Instances = append(l.Instances, e)
+	}
+	return l
+}
+
+// differs names what another configuration has otherwise that takes a restart.
+func (c *Config) differs(other *Config) []string {
+	var names []string
+	for _, f := range []struct {
+		name string
+		same bool
+	}{{"name", c.Name == other.Name}, {"listen", c.Listen == other.Listen}, {"settings", bytes.Equal(c.settings, other.settings)}} {
+		if !f.same {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
--- a/internal/platform/list_crossing_test.go
+++ b/internal/platform/list_crossing_test.go
@@ -72,7 +72,7 @@
 	if target := next(t, c); target != wholeCall+"?from=7&hold_ms=1500" {
 		t.Errorf("asked %s", target)
 	}
-	n.Move(second.Addr().String())
+	n.list.move(second.Addr().String())
 	target, c = called(t, second)
 	if target != wholeCall {
 		t.Errorf("asked %s after the move", target)
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"iter"
 	"maps"
+	"math"
 	"net"
 	"runtime"
 	"runtime/debug"
@@ -93,10 +94,16 @@
 
 // Apply sets the process by the machine's limits.
 func (l Limits) Apply() {
-	runtime.GOMAXPROCS(max(1, int(l.Cores)))
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(l.Cores)))
+	} else {
+		runtime.SetDefaultGOMAXPROCS()
+	}
+	memory := int64(math.MaxInt64)
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.MemoryMB * 0.6 * (1 << 20)))
+		memory = int64(l.MemoryMB * 0.6 * (1 << 20))
 	}
+	debug.SetMemoryLimit(memory)
 }
 
 // checks is how many health checks may go on at once.
@@ -108,11 +115,11 @@
 }
 
 // connections is how many may be open: what the health checks and the steward's own files leave.
-func (l Limits) connections() int {
+func (l Limits) connections(checks int) int {
 	if l.Sockets == 0 {
 		return unbounded
 	}
-	return max(l.Sockets-l.checks()-ownFiles, 2*pendingMin)
+	return max(l.Sockets-checks-ownFiles, 2*pendingMin)
 }
 
 // New makes a node.
@@ -126,7 +133,7 @@
 		streams: map[int]*stream{}, silent: map[int]*stream{}, collectors: map[int][]*stream{}, hosts: map[int]process{}, retired: map[int]float64{}}
 	n.faults = newFaultLog(log, time.Now)
 	n.checks = make(chan struct{}, c.Limits.checks())
-	n.admission = newAdmission(c.Limits.connections())
+	n.admission = newAdmission(c.Limits.connections(cap(n.checks)))
 	var names []string
 	for _, s := range c.Settings.Services {
 		names = append(names, s.Name)
@@ -171,8 +178,15 @@
 	return nil
 }
 
-// Move follows the list at another address.
-func (n *Node) Move(address string) { n.list.move(address) }
+// Reload takes over what of a new configuration may change while a steward serves: the list's address and the limits. The list
+// is followed anew also where its address is the same. Health checks go on as many at once as before.
+func (n *Node) Reload(c *Config) {
+	c.Limits.Apply()
+	n.admission.resize(c.Limits.connections(cap(n.checks)))
+	n.list.move(c.Discovery)
+	n.log.Info().Str("discovery", c.Discovery).Float64("cores", c.Limits.Cores).Float64("memory_mb", c.Limits.MemoryMB).
+		Int("sockets", c.Limits.Sockets).Strs("takes_a_restart", n.config.differs(c)).Msg("the configuration is read again")
+}
 
 // post queues an event for the loop, and waits while the queue is full.
 func (n *Node) post(f func()) {
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -231,8 +233,8 @@
 			t.Errorf("asked %s", got)
 		}
 	}
-	n.Move(first)
-	n.Move(second)
+	n.list.move(first)
+	n.list.move(second)
 	for _, want := range []string{"/catalog/members", "/catalog/members?from=7&hold_ms=1500"} {
 		if got := <-then; got != want {
 			t.Errorf("asked %s", got)
@@ -273,3 +275,21 @@
 		t.Error("it spoke again and is not joined")
 	}
 }
+
+// lockedBuffer takes log lines from several goroutines.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"slices"
 )
 
 // Service is a class of transactions as the settings spell it.
@@ -50,6 +52,11 @@
 	EveryHost    = "all"
 )
 
+const (
+	unbounded   = math.MaxFloat64
+	proxiesMost = 65535 // the wire's numbers of proxies and tables stay below 65536
+)
+
 // ReadSettings decodes and checks the settings; the error names the setting that is absent or out of its
 // range.
 func ReadSettings(raw []byte) (*Settings, error) {
@@ -76,19 +83,46 @@
 			return nil, fmt.Errorf("Start: setting %s is out of range: %g", p.name, *p.value)
 		}
 	}
+	for _, p := range []struct {
+		name        string
+		value, most float64
+	}{
+		{"FamilyInfo.LateUs", f.LateUs, unbounded}, {"FamilyInfo.UpdateWindowUs", f.UpdateWindowUs, unbounded},
+		{"FamilyInfo.OrderPrice", f.OrderPrice, unbounded}, {"FamilyInfo.Ejects", float64(f.Ejects), unbounded},
+		{"FamilyInfo.MessagesMost", float64(f.MessagesMost), unbounded}, {"FamilyInfo.RetryDefault", float64(f.RetryDefault), 3},
+		{"FamilyInfo.Shards", float64(f.Shards), unbounded}, {"Limits.DialTimeoutUs", s.Limits.DialTimeoutUs, unbounded},
+		{"Prices.Probe", s.Prices.Probe, unbounded}, {"Rules.ColdFrom", *r.ColdFrom, 1}, {"ScoreParts.Whole", s.ScoreParts.Whole, unbounded},
+		{"ScoreParts.WorstClass", s.ScoreParts.WorstClass, unbounded}, {"ScoreParts.WorstWindow", s.ScoreParts.WorstWindow, unbounded},
+		{"StepUs", s.StepUs, unbounded},
+	} {
+		if p.value < 0 || p.value > p.most {
+			return nil, fmt.Errorf("Start: setting %s is out of range: %g", p.name, p.value)
+		}
+	}
+	if len(s.FailureDomains) == 0 { // a deployment that has no zones is all one
+		s.FailureDomains = []string{s.Zone}
+	}
 	switch {
 	case s.Index == nil || *s.Index < 0:
 		return nil, fmt.Errorf("Start: setting Index is missing or below 0")
 	case s.Instances == nil || *s.Instances < 1:
 		return nil, fmt.Errorf("Start: setting Instances is missing or below 1")
-	case f.DataPlaneSize == nil || *f.DataPlaneSize < 1:
-		return nil, fmt.Errorf("Start: setting FamilyInfo.DataPlaneSize is missing or below 1")
+	case f.DataPlaneSize == nil || *f.DataPlaneSize < 1 || *f.DataPlaneSize > proxiesMost:
+		return nil, fmt.Errorf("Start: setting FamilyInfo.DataPlaneSize is missing or not from 1 to %d", proxiesMost)
 	case len(s.Services) == 0 || len(s.Services) > 60:
 		return nil, fmt.Errorf("Start: setting Services holds %d classes, from 1 to 60 can be served", len(s.Services))
-	case len(s.FailureDomains) == 0:
-		return nil, fmt.Errorf("Start: setting FailureDomains is missing or empty")
 	}
+	for i, z := range s.FailureDomains {
+		if slices.Contains(s.FailureDomains[:i], z) {
+			return nil, fmt.Errorf("Start: setting FailureDomains names %q twice", z)
+		}
+	}
+	names := map[string]bool{}
 	for _, c := range s.Services {
+		if names[c.Name] {
+			return nil, fmt.Errorf("Start: setting Services names class %q twice", c.Name)
+		}
+		names[c.Name] = true
 		if c.AimUs == nil || c.HardLimitUs == nil || c.Value == nil || *c.AimUs <= 0 || *c.HardLimitUs <= 0 || *c.Value < 0 {
 			return nil, fmt.Errorf("Start: setting Services: class %q lacks a good AimUs, HardLimitUs or Value", c.Name)
 		}
