--- a/cmd/barleysail/node_test.go
+++ b/cmd/barleysail/node_test.go
@@ -22,10 +22,7 @@
 // read, ends with status 0 on SIGTERM, and names what is wrong with a configuration at its start.
 func TestNode(t *testing.T) {
 	dir := t.TempDir()
-	program, file := filepath.Join(dir, "barleysail"), filepath.Join(dir, "config.json")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program, file := buildProgram(t, dir), filepath.Join(dir, "config.json")
 	lists := [2]net.Listener{}
 	for i := range lists {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -114,3 +111,101 @@
 		t.Errorf("after SIGTERM: %v", err)
 	}
 }
+
+func buildProgram(t *testing.T, dir string) string {
+	t.Helper()
+	program := filepath.Join(dir, "barleysail")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// Signals between two lines. SIGTERM that comes before the configuration has been read (a pipe that the test holds open), or
+// right after a SIGHUP whose configuration cannot be read to its end, ends the program with status 0 well within 0.7 s; of two
+// SIGHUPs in a row the newest configuration counts.
+func TestNodeSignals(t *testing.T) {
+	dir := t.TempDir()
+	program := buildProgram(t, dir)
+	lists := [3]net.Listener{}
+	for i := range lists {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		lists[i] = l
+	}
+	text := func(list net.Listener) []byte {
+		return fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1f","settings":%s}`, list.Addr(), nodeSettings)
+	}
+	launch := func(file string) *exec.Cmd {
+		t.Helper()
+		run := exec.Command(program, "node")
+		run.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+		run.Stderr = io.Discard
+		if err := run.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { run.Process.Kill() })
+		return run
+	}
+	ends := func(run *exec.Cmd, began time.Time) {
+		t.Helper()
+		if err := run.Wait(); err != nil {
+			t.Errorf("after SIGTERM: %v", err)
+		}
+		if took := time.Since(began); took > 700*time.Millisecond {
+			t.Errorf("it ends %v after SIGTERM", took)
+		}
+	}
+	asked := func(l net.Listener) {
+		t.Helper()
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+	t.Run("before the configuration", func(t *testing.T) {
+		pipe := filepath.Join(dir, "pipe")
+		if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		run := launch(pipe)
+		w, err := os.OpenFile(pipe, os.O_WRONLY, 0) // opens once the program reads
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		run.Process.Signal(syscall.SIGTERM)
+		w.Write(text(lists[0]))
+		w.Close()
+		ends(run, began)
+	})
+	t.Run("in a row", func(t *testing.T) {
+		file := filepath.Join(dir, "config.json")
+		write := func(text []byte) {
+			if err := os.WriteFile(file, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		write(text(lists[0]))
+		run := launch(file)
+		asked(lists[0])
+		write(text(lists[1])[:50]) // half replaced
+		run.Process.Signal(syscall.SIGHUP)
+		write(text(lists[1]))
+		run.Process.Signal(syscall.SIGHUP)
+		asked(lists[1])
+		write(text(lists[2]))
+		run.Process.Signal(syscall.SIGHUP)
+		run.Process.Signal(syscall.SIGHUP)
+		asked(lists[2])
+		write(text(lists[2])[:50])
+		run.Process.Signal(syscall.SIGHUP)
+		began := time.Now()
+		run.Process.Signal(syscall.SIGTERM)
+		ends(run, began)
+	})
+}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -95,3 +95,14 @@
 		}
 	}
 }
+
+// A proxy that answers no mark but goes on speaking costs a bounded number of marks; an answer to the newest still counts.
+func TestMarksNeverAnswered(t *testing.T) {
+	s := &stream{}
+	for number := range 10 * marksMost {
+		s.mark(number, float64(number))
+	}
+	if len(s.sent) != marksMost || s.sent[len(s.sent)-1].number != 10*marksMost-1 {
+		t.Errorf("%d marks are kept, the last %v", len(s.sent), s.sent[len(s.sent)-1])
+	}
+}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -229,7 +229,7 @@
 				return
 			}
 			if mark != 0 {
-				s.sent = append(s.sent, stamp{mark, now})
+				s.mark(mark, now)
 			}
 			s.send(message)
 		})
--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/textproto"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	messageMost   = 1 << 20
 	wordsMost     = 256
 	pingsMost     = 32
+	marksMost     = 256 // unanswered on a stream: minutes of the module's own pace of messages
 	queuedMost    = 512 << 10 // bytes that may wait for a stream
 	writeTimeout  = 5 * time.Second
 )
@@ -52,6 +54,12 @@
 	at     float64
 }
 
+// mark notes a mark that went out; of those never answered the newest are kept.
+func (s *stream) mark(number int, now float64) {
+	s.sent = append(s.sent, stamp{number, now})
+	s.sent = slices.Delete(s.sent, 0, max(len(s.sent)-marksMost, 0))
+}
+
 // send queues bytes, and ends the connection where too many wait.
 func (s *stream) send(b []byte) {
 	s.mu.Lock()
