--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -21,7 +21,7 @@
 	messageMost   = 1 << 20
 	wordsMost     = 256
 	pingsMost     = 32
-	marksMost     = 256 // unanswered on a stream: minutes of the module's own pace of messages
+	marksMost     = 256       // unanswered on a stream: minutes of the module's own pace of messages
 	queuedMost    = 512 << 10 // bytes that may wait for a stream
 	writeTimeout  = 5 * time.Second
 )
