Let weights wait by 0.4 of the grace, so that large fleets are not held up

Weights now wait while more than 0.4 of the grace is in the channel at its pace; the rule's times grow with a slow channel. TestDrainsBesideColdHosts stands as it was. The first line of the log now tells the grace.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,6 +32,7 @@
 	drainsTo     = 0.95    // of the channel's caps may be filled by removals of hosts that drain or are gone
 	guardsTo     = 0.55    // by withdrawals, by what guards cold hosts and by tables of a few hosts
 	weightsTo    = 0.45    // by weights and levels
+	weightsIn    = 0.4     // of the grace for drains: what is in the channel before weights has left
 	joinsTo      = 0.3     // by whole tables
 	inTime       = 0.3     // of the grace for drains: joining proxies get a table of ours
 	handLeast    = 4       // hosts in a proxy's own table
@@ -704,11 +705,13 @@
 	}
 	s.join(w, c, b, unbound, lines, fair, behind)
 	b.number = s.number%60000 + 1
+	// A drain that comes next must still leave in time, unless no line to all proxies does.
+	spare, line := c.LinesPerS*s.guard.Grace/1000*weightsIn, float64(bound)*(b.head+1)
 	if start := b.queue; s.open() && !behind {
 		sort.SliceStable(later, func(i, j int) bool { return later[i].size > later[j].size })
 		for _, l := range later {
 			if was := b.queue; (s.purse > 0 || was > start) && fits(s.servers[l.h].holders, weightsTo) &&
-				(!s.tooLate(was, c) || was <= 2*float64(bound)*b.head) {
+				(was <= spare || line > spare) {
 				s.write(w, l.h, l.want, b)
 				s.purse -= b.queue - was
 			}
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -155,7 +155,7 @@
 	n.log.Info().Str("name", n.config.Name).Stringer("listen", l.Addr()).Int("connections", n.admission.limit).
 		Float64("cores", n.config.Limits.Cores).Float64("memory_mb", n.config.Limits.MemoryMB).Int("sockets", n.config.Limits.Sockets).
 		Float64("lines_per_s", *n.config.Settings.FamilyInfo.ChannelRate).Float64("most_waiting", *n.config.Settings.FamilyInfo.MostWaiting).
-		Float64("head", *n.config.Settings.FamilyInfo.PerMessage).Float64("order_price", n.config.Settings.FamilyInfo.OrderPrice).Msg("in service")
+		Float64("head", *n.config.Settings.FamilyInfo.PerMessage).Float64("grace_ms", *n.config.Settings.Rules.StopSendingWithinUs/1000).Float64("order_price", n.config.Settings.FamilyInfo.OrderPrice).Msg("in service")
 	known := n.config.Known
 	known.Reset = true
 	// There is no older list to stand in for this one, so a malformed entry is left out alone.
