--- a/cmd/barleysail/node_test.go
+++ b/cmd/barleysail/node_test.go
@@ -23,19 +23,8 @@
 func TestNode(t *testing.T) {
 	dir := t.TempDir()
 	program, file := buildProgram(t, dir), filepath.Join(dir, "config.json")
-	lists := [2]net.Listener{}
-	for i := range lists {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		lists[i] = l
-	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	lists := [2]net.Listener{listen(t), listen(t)}
+	free := listen(t)
 	address := free.Addr().String()
 	free.Close()
 	write := func(list net.Listener, settings string) {
@@ -85,20 +74,12 @@
 			t.Fatalf("%q, %v", answer, err)
 		}
 	}
-	called := func(l net.Listener) {
-		t.Helper()
-		c, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.Close()
-	}
 	until("in service")
-	called(lists[0])
+	called(t, lists[0])
 	alive()
 	write(lists[1], nodeSettings)
 	run.Process.Signal(syscall.SIGHUP)
-	called(lists[1])
+	called(t, lists[1])
 	if err := os.WriteFile(file, []byte("{"), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -127,15 +108,7 @@
 func TestNodeSignals(t *testing.T) {
 	dir := t.TempDir()
 	program := buildProgram(t, dir)
-	lists := [3]net.Listener{}
-	for i := range lists {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		lists[i] = l
-	}
+	lists := [3]net.Listener{listen(t), listen(t), listen(t)}
 	text := func(list net.Listener) []byte {
 		return fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1f","settings":%s}`, list.Addr(), nodeSettings)
 	}
@@ -159,14 +132,6 @@
 			t.Errorf("it ends %v after SIGTERM", took)
 		}
 	}
-	asked := func(l net.Listener) {
-		t.Helper()
-		c, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.Close()
-	}
 	t.Run("before the configuration", func(t *testing.T) {
 		pipe := filepath.Join(dir, "pipe")
 		if err := syscall.Mkfifo(pipe, 0o600); err != nil {
@@ -192,16 +157,16 @@
 		}
 		write(text(lists[0]))
 		run := launch(file)
-		asked(lists[0])
+		called(t, lists[0])
 		write(text(lists[1])[:50]) // half replaced
 		run.Process.Signal(syscall.SIGHUP)
 		write(text(lists[1]))
 		run.Process.Signal(syscall.SIGHUP)
-		asked(lists[1])
+		called(t, lists[1])
 		write(text(lists[2]))
 		run.Process.Signal(syscall.SIGHUP)
 		run.Process.Signal(syscall.SIGHUP)
-		asked(lists[2])
+		called(t, lists[2])
 		write(text(lists[2])[:50])
 		run.Process.Signal(syscall.SIGHUP)
 		began := time.Now()
@@ -209,3 +174,23 @@
 		ends(run, began)
 	})
 }
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// called takes a list call and ends its connection.
+func called(t *testing.T, l net.Listener) {
+	t.Helper()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+}
--- a/decide/channel_test.go
+++ b/decide/channel_test.go
@@ -25,9 +25,18 @@
 	cutAt   map[int]float64 // when the last proxy took a host out
 }
 
-func newSlowChannel(set deployment, pace float64) *slowChannel {
-	return &slowChannel{Steward: New(set.Fleet, set.classes, set.Channel, set.Guard, set.Goal), set: set.Channel, pace: pace,
+// newSlowChannel lists so many ready hosts, and joins the proxies.
+func newSlowChannel(set deployment, pace float64, hosts int) *slowChannel {
+	c := &slowChannel{Steward: New(set.Fleet, set.classes, set.Channel, set.Guard, set.Goal), set: set.Channel, pace: pace,
 		tables: map[int]map[int]float64{}, bound: map[int]int{}, round: map[int]float64{}, missing: map[int]int{}, cutIn: map[int][]int{}, cutAt: map[int]float64{}}
+	c.WholeList(true)
+	for h := range hosts {
+		c.Entry(h, h%2, Ready, 1, 0)
+	}
+	for p := range set.Proxies {
+		c.Joined(p, p%2, 1)
+	}
+	return c
 }
 
 type sentMessage struct {
@@ -119,14 +128,7 @@
 		set := plain()
 		set.MayProbe, set.Proxies = false, 30
 		set.Channel.LinesPerS, set.Channel.MostWaiting = 1500, 3000
-		c := newSlowChannel(set, pace)
-		c.WholeList(true)
-		for h := range 60 {
-			c.Entry(h, h%2, Ready, 1, 0)
-		}
-		for p := range set.Proxies {
-			c.Joined(p, p%2, 1)
-		}
+		c := newSlowChannel(set, pace, 60)
 		now := c.run(1000, 20000)
 		for first := 0; first < 120; first += 30 {
 			c.ListChange()
@@ -152,14 +154,7 @@
 	set := plain()
 	set.MayProbe, set.Proxies, set.Guard.Grace, set.Guard.FallMultiple = false, 45, 2000, 4
 	set.Channel = Channel{LinesPerS: 2600, Head: 4, MostWaiting: 8200, Late: 285, Price: 0.04}
-	c := newSlowChannel(set, 1)
-	c.WholeList(true)
-	for h := range 200 {
-		c.Entry(h, h%2, Ready, 1, 0)
-	}
-	for p := range set.Proxies {
-		c.Joined(p, p%2, 1)
-	}
+	c := newSlowChannel(set, 1, 200)
 	now := c.run(1000, 30000)
 	c.ListChange()
 	for h := 200; h < 320; h++ {
