Share the tests' held calls, and let comments say only what is so

TestDescriptorsEnd's comment said that the list is called while streams hold all descriptors, which nothing checked: it does now; what it said of health checks went. The comment on answers held back in steward/acks.go told of the module as it was.

--- a/internal/platform/admission_test.go
+++ b/internal/platform/admission_test.go
@@ -36,12 +36,15 @@
 }
 
 // Streams hold all descriptors: who comes then is told so at once by a close, and taken in as soon as one has left. The list is
-// followed and hosts are checked all the while, by descriptors of their own.
+// called meanwhile, also at another address.
 func TestDescriptorsEnd(t *testing.T) {
 	n, at, joined := full(t)
 	if late := dial(t, at, "SUBSCRIBE proxy 900 zone a weight 1 fresh 1"); !late.ended() {
 		t.Error("a connection is neither refused nor served")
 	}
+	moved := open(t)
+	n.list.move(moved.Addr().String())
+	answer(held(t, moved), members(8, true, oneHost))
 	joined[1].Close()
 	for !ask(n, func() bool { return n.streams[1] == nil }) {
 		runtime.Gosched()
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -1,8 +1,6 @@
 package platform
 
 import (
-	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -50,25 +48,15 @@
 
 // A proxy joins before the steward knows of any host: it keeps the table that it holds until the list has come.
 func TestJoinBeforeFirstList(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	c := config(t, l.Addr().String(), 0)
+	lists := open(t)
+	c := config(t, lists.Addr().String(), 0)
 	c.Known.Instances = nil
 	n := run(t, c)
 	p := dial(t, c.Listen, subscribe)
 	p.say("PING")
 	p.want("PONG")
 	settle(n)
-	call, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer call.Close()
-	body := `{"generation":7,"reset":true,"instances":[` + oneHost + `]}`
-	fmt.Fprintf(call, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	answer(held(t, lists), members(7, true, oneHost))
 	p.want(firstTold)
 }
 
--- a/internal/platform/health_crossing_test.go
+++ b/internal/platform/health_crossing_test.go
@@ -3,26 +3,13 @@
 import (
 	"fmt"
 	"net"
-	"strings"
 	"testing"
 )
 
-// held accepts one connection, reads the request and gives it to the test, unanswered.
+// held takes a call on a connection of its own and leaves it unanswered.
 func held(t *testing.T, l net.Listener) net.Conn {
 	t.Helper()
-	c, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	for request := ""; !strings.Contains(request, "\r\n\r\n"); {
-		part := make([]byte, 512)
-		n, err := c.Read(part)
-		if err != nil {
-			t.Fatal(err)
-		}
-		request += string(part[:n])
-	}
+	_, c := called(t, l)
 	return c
 }
 
--- a/internal/platform/list_crossing_test.go
+++ b/internal/platform/list_crossing_test.go
@@ -6,9 +6,11 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
-// called takes a list call on a connection of its own and gives its target with the connection, unanswered.
+// called takes a call on a connection of its own and gives its target with the connection, unanswered.
 func called(t *testing.T, l net.Listener) (target string, c net.Conn) {
 	t.Helper()
 	c, err := l.Accept()
@@ -101,7 +103,7 @@
 func TestListCountsAnew(t *testing.T) {
 	first := open(t)
 	c := config(t, first.Addr().String(), 0)
-	n, err := New(c, quiet())
+	n, err := New(c, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -63,12 +63,10 @@
 	return c
 }
 
-func quiet() zerolog.Logger { return zerolog.Nop() }
-
 // run runs a node on loopback until the test ends.
 func run(t *testing.T, c *Config) *Node {
 	t.Helper()
-	n, err := New(c, quiet())
+	n, err := New(c, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -224,7 +222,7 @@
 // A configuration that names another address for the list is followed there at once, from the whole list on.
 func TestMovedList(t *testing.T) {
 	first, asked := listing(t, oneHost)
-	second, then := listing(t, oneHost+","+strings.ReplaceAll(oneHost, "s-1", "s-2"))
+	second, then := listing(t, oneHost+","+sTwo)
 	n, at := serve(t, first, 0)
 	p := dial(t, at, "SUBSCRIBE proxy 0 zone a weight 1 fresh 1")
 	p.want("CONFIG replace 1 rows s-1:1 gate 1 again 1 stamp 1")
--- a/steward/acks.go
+++ b/steward/acks.go
@@ -12,8 +12,8 @@
 	number int
 }
 
-// answers holds the answers to marks back until all that was ordered before has left the channel: the module
-// takes an answer as proof of that, but here withdrawals go in front of weights.
+// answers holds the answers to marks back until all that was ordered before has left the channel, since withdrawals go in
+// front of weights here. The module takes an answer as proof only of what was written to the same proxy.
 type answers struct{ early []answer }
 
 // answer is a proxy's to a mark.
