Show that an old list of known hosts leaves all proxies without a host

Cause: hosts of the first list that the known list lacks count as just started, so no table has a host until they would be warm.

--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -14,7 +14,8 @@
 
 var cases = map[string]played{
 	"replace": {replaceSite, "drain", replaceHosts},
-	"bare":    {bareSite, "bare", loseZone},
+	"bare":    {bareSite, "lost", loseZone},
+	"known":   {knownSite, "lost", nil},
 	"cold":    {coldSite, "failback", loseZone},
 }
 
@@ -71,6 +72,23 @@
 	time.Sleep(15 * time.Second)
 }
 
+// knownSite has the figures that the page on the signing front end gives. With the disruption, the controller starts with
+// a known list of hosts that have all been replaced since.
+func knownSite() site {
+	return site{
+		zones: []string{"half-way-tree", "portmore", "spanish-town"},
+		classes: []class{
+			{name: "status-read", share: 0.54, workMs: 320, aimMs: 1500, patienceMs: 5000, earning: 2, effect: "idempotent"},
+			{name: "submit-image", share: 0.25, workMs: 320, aimMs: 1500, patienceMs: 4000, earning: 3, effect: "deduplicated"},
+			{name: "release-sign", share: 0.21, workMs: 540, aimMs: 3000, patienceMs: 10000, earning: 3, effect: "at_most_once"},
+		},
+		hostsPerZone: 5, proxiesByZone: 2, rate: 2200, head: 4, lateMs: 425, mostWaiting: 3300, messagesMost: 0, bareMs: 2900,
+		graceMs: 2800, coldFrom: 0.18, coldMs: 15000, fallMultiple: 4, fallMs: 1500, ejects: 5, retryDefault: 0, clientRepeats: 3,
+		requestRate: 77, cores: 3, speed: 0.97, holds: 30, reports: []string{"util", "qps"}, admission: "share", logRequests: true,
+		oldKnown: true,
+	}
+}
+
 // bareSite has one class that keeps to the proxy's zone, and one that may go anywhere.
 func bareSite() site {
 	s := results()
--- a/review/_standin/platform.go
+++ b/review/_standin/platform.go
@@ -29,6 +29,8 @@
 	updatedMs float64 // when backlogMs was last brought up to date
 	inflight  int
 	latencyMs float64
+	rate      float64 // requests a second, of the last second
+	count     int     // requests since then
 
 	pushes []push // what it was sent since its last start, for the rule on cold hosts
 	fallen bool   // it was pushed over while it was cold
@@ -227,7 +229,7 @@
 func (w *world) load(h *host) map[string]float64 {
 	cores := float64(w.site.cores)
 	all := map[string]float64{"queue": math.Max(0, float64(h.inflight)-cores), "latency_ms": h.latencyMs,
-		"util": math.Min(1, float64(h.inflight)/cores)}
+		"util": math.Min(1, float64(h.inflight)/cores), "qps": h.rate}
 	report := map[string]float64{}
 	for _, name := range w.site.reports {
 		report[name] = all[name]
