Apply a proxy's messages in their order in the review's stand-in

Cause: two messages that came within a millisecond could be applied in the wrong order, which a random test of drains showed as a break. Change: each proxy keeps the messages on their way in a queue; the collectors keep to the settings' limit of lines.

--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 var cases = map[string]played{
 	"replace": {replaceSite, "drain", replaceHosts},
 	"bare":    {bareSite, "lost", loseZone},
+	"herd":    {herdSite, "any", herd},
 	"known":   {knownSite, "lost", nil},
 	"cold":    {coldSite, "failback", loseZone},
 }
@@ -29,7 +31,7 @@
 		},
 		hostsPerZone: 5, proxiesByZone: 3, rate: 7100, head: 6, lateMs: 270, mostWaiting: 7100, messagesMost: 20, bareMs: 5300,
 		graceMs: 3000, coldFrom: 0.15, coldMs: 18000, fallMultiple: 4, fallMs: 3000, ejects: 3, retryDefault: 1, clientRepeats: 1,
-		requestRate: 120, cores: 4, speed: 0.9, holds: 40, reports: []string{"queue", "latency_ms"}, admission: "none", logRequests: true,
+		requestRate: 120, cores: 4, speed: 0.9, holds: 40, reports: []string{"queue", "latency_ms"}, admission: "none", hears: 200, heardLateMs: 400, logRequests: true,
 	}
 }
 
@@ -84,7 +86,7 @@
 		},
 		hostsPerZone: 5, proxiesByZone: 2, rate: 2200, head: 4, lateMs: 425, mostWaiting: 3300, messagesMost: 0, bareMs: 2900,
 		graceMs: 2800, coldFrom: 0.18, coldMs: 15000, fallMultiple: 4, fallMs: 1500, ejects: 5, retryDefault: 0, clientRepeats: 3,
-		requestRate: 77, cores: 3, speed: 0.97, holds: 30, reports: []string{"util", "qps"}, admission: "share", logRequests: true,
+		requestRate: 77, cores: 3, speed: 0.97, holds: 30, reports: []string{"util", "qps"}, admission: "share", hears: 200, heardLateMs: 400, logRequests: true,
 		oldKnown: true,
 	}
 }
@@ -107,7 +109,7 @@
 		hostsPerZone: 6, proxiesByZone: 5, rate: 12000, head: 10, lateMs: 240, mostWaiting: 24000, messagesMost: 0, bareMs: 4000,
 		graceMs: 2000, coldFrom: 0.23, coldMs: 17000, fallMultiple: 2.5, fallMs: 1500, ejects: 0, retryDefault: 1, clientRepeats: 2,
 		requestRate: 110, cores: 3, speed: 0.95, holds: 36, reports: []string{"util", "queue"}, admission: "share",
-		logRequests: true,
+		hears: 200, heardLateMs: 400, logRequests: true,
 	}
 }
 
@@ -141,3 +143,67 @@
 	}
 	time.Sleep(10 * time.Second)
 }
+
+// herdSite has the figures that the bench prints for a day of kochkiste-orders with 240 proxies.
+func herdSite() site {
+	return site{
+		zones: []string{"wien", "graz", "linz"},
+		classes: []class{
+			{name: "basket-view", share: 0.43, workMs: 210, aimMs: 1200, patienceMs: 4000, earning: 1, effect: "idempotent"},
+			{name: "basket-edit", share: 0.4, workMs: 210, aimMs: 1500, patienceMs: 4000, earning: 2, effect: "deduplicated"},
+			{name: "checkout", share: 0.17, workMs: 320, aimMs: 2000, patienceMs: 5000, earning: 5, effect: "at_most_once"},
+		},
+		hostsPerZone: 67, proxiesByZone: 80, rate: 1900, head: 6, lateMs: 187, mostWaiting: 6300, messagesMost: 0, bareMs: 5700,
+		graceMs: 4000, coldFrom: 0.23, coldMs: 15000, fallMultiple: 3, fallMs: 3000, ejects: 8, retryDefault: 1, clientRepeats: 1,
+		requestRate: 1090, cores: 3, speed: 1.2, holds: 40, reports: []string{"inflight"}, admission: "none",
+		hears: 150, heardLateMs: 1200, elsewhere: 192, instances: 5,
+	}
+}
+
+// herd is a release: half of the hosts are replaced in four steps. Meanwhile four of five controllers are killed, and their
+// proxies come to the one that is left.
+func herd(w *world) {
+	time.Sleep(14 * time.Second)
+	count := len(w.hosts)
+	w.mu.Lock()
+	var all []*host
+	for _, h := range w.hosts {
+		all = append(all, h)
+	}
+	w.mu.Unlock()
+	step := func(from, to int) {
+		w.mu.Lock()
+		var fresh, drained, gone []entry
+		for i := from; i < to; i++ {
+			old := all[i]
+			fresh = append(fresh, w.entryOf(w.addHost("s-9"+old.id[2:], old.zone, nowMs()), "Ready"))
+			drained = append(drained, w.entryOf(old, "Terminating"))
+			gone = append(gone, w.entryOf(old, "Gone"))
+		}
+		w.mu.Unlock()
+		time.AfterFunc(1100*time.Millisecond, func() { w.agent.set(fresh...) })
+		time.AfterFunc(2300*time.Millisecond, func() { w.agent.set(drained...) })
+		time.AfterFunc(10*time.Second, func() {
+			w.mu.Lock()
+			for i := from; i < to; i++ {
+				w.kill(all[i])
+			}
+			w.mu.Unlock()
+			w.agent.set(gone...)
+		})
+	}
+	portion := count * 15 / 100
+	step(0, portion)
+	time.Sleep(2100 * time.Millisecond)
+	step(portion, 2*portion)
+	time.Sleep(900 * time.Millisecond)
+	w.record("four controllers are killed")
+	for _, p := range w.proxies[len(w.proxies)-w.site.elsewhere:] {
+		time.AfterFunc(time.Duration(200+800*rand.Float64())*time.Millisecond, func() { w.join(p, "0") })
+	}
+	time.Sleep(1200 * time.Millisecond)
+	step(2*portion, 3*portion)
+	time.Sleep(2500 * time.Millisecond)
+	step(3*portion, count/2)
+	time.Sleep(20 * time.Second)
+}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -15,6 +15,7 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,6 +58,10 @@
 	reports       []string
 	admission     string
 	logRequests   bool
+	hears         int // report lines a second
+	heardLateMs   float64
+	elsewhere     int  // proxies that are joined to other controllers at first
+	instances     int  // controllers; 0: one
 	oldKnown      bool // the disruption is an old list of known hosts
 }
 
@@ -264,12 +269,12 @@
 	return map[string]any{
 		"Discovery": "automatic", "FailureDomains": s.zones, "Family": "control",
 		"FamilyInfo": map[string]any{"Admission": s.admission, "BareUs": us(s.bareMs), "ChannelRate": s.rate, "ClassWrites": writes,
-			"DataPlaneSize": len(s.zones) * s.proxiesByZone, "Ejects": s.ejects, "Exclusive": false, "FirstWait": 0.8, "HearsPerS": 200.0,
+			"DataPlaneSize": len(s.zones) * s.proxiesByZone, "Ejects": s.ejects, "Exclusive": false, "FirstWait": 0.8, "HearsPerS": s.hears,
 			"InFlightMaxUs": 20000, "InitialSet": 12, "IntervalUs": 1000000, "LateUs": us(s.lateMs), "LocalFirst": true,
 			"MessagesMost": s.messagesMost, "MinConnCap": 398.0, "MostWaiting": s.mostWaiting, "MovePrice": 0.01, "OrderPrice": 0.02,
 			"PerMessage": s.head, "Pick": "weighted", "PushDelayMaxUs": 675000, "RetryDefault": s.retryDefault, "Shards": 0,
 			"StaysLocal": local, "TenureUs": 2500000, "UpdateWindowUs": 10000000, "WaitsForTableUs": 300000, "WarmKeys": false},
-		"Index": 0, "Instances": 1, "Kinds": []string{"full-4core", "slow-4core"},
+		"Index": 0, "Instances": max(s.instances, 1), "Kinds": []string{"full-4core", "slow-4core"},
 		"Limits": map[string]any{"ConnIdleUs": 15000000, "CpuUsPerS": 900000, "DialTimeoutUs": 250000, "MayProbe": true,
 			"Peers": false, "StreamsPerConn": 100},
 		"Prices": map[string]any{"Connection": 0.02, "CrossZone": 0.01, "Discovery": 0.0, "Handshake": 0.02, "LateFail": 0.03,
@@ -285,19 +290,23 @@
 
 // startTraffic joins the proxies and collectors, and starts the clients.
 func (w *world) startTraffic() {
-	for _, p := range w.proxies {
-		w.join(p, "1")
+	for i, p := range w.proxies {
+		if i < len(w.proxies)-w.site.elsewhere {
+			w.join(p, "1")
+		}
 		go w.reportDemand(p)
 		go w.clients(p)
 	}
+	collectors := map[string]net.Conn{}
 	for _, zone := range w.site.zones {
 		conn, err := net.Dial("tcp", w.steward)
 		if err != nil {
 			cannotRun("a collector dials the steward: %v", err)
 		}
 		w.send(conn, "SOURCE", "zone", zone)
-		go w.collect(zone, conn)
+		collectors[zone] = conn
 	}
+	go w.collect(collectors)
 	go func() {
 		for range time.Tick(time.Second) {
 			w.mu.Lock()
@@ -334,18 +343,24 @@
 	}
 }
 
-// reportDemand writes a proxy's usage on its stream once a second, some time late.
+// demandPeriod is the time between two reports of a proxy on its usage: a fleet of many proxies reports in turns.
+func (w *world) demandPeriod() time.Duration {
+	return time.Duration(max(1, len(w.proxies)/12)) * time.Second
+}
+
+// reportDemand writes a proxy's usage on its stream once a period, some time late.
 func (w *world) reportDemand(p *proxy) {
-	for range time.Tick(time.Second) {
+	time.Sleep(time.Duration(rand.Float64() * float64(w.demandPeriod())))
+	for range time.Tick(w.demandPeriod()) {
 		w.mu.Lock()
 		conn := p.conn
 		for i, c := range w.site.classes {
 			arrived, unserved := p.arrived[i], p.unserved[i]
 			p.arrived[i], p.unserved[i] = 0, 0
 			if conn != nil && arrived > 0 {
-				w.at(nowMs()+400, func() {
+				w.at(nowMs()+w.site.heardLateMs, func() {
 					w.send(conn, "RATE", "proxy", strconv.Itoa(p.number), "class", c.name, "tries", strconv.Itoa(arrived),
-						"failed", strconv.Itoa(min(unserved, arrived)), "span_ms", "1000.0")
+						"failed", strconv.Itoa(min(unserved, arrived)), "span_ms", num(float64(w.demandPeriod().Milliseconds())))
 				})
 			}
 		}
@@ -353,21 +368,32 @@
 	}
 }
 
-// collect forwards what the proxies of a zone met at each host once a second, some time late.
-func (w *world) collect(zone string, conn net.Conn) {
+// collect forwards, once a second and some time late, what the joined proxies met at each host. At most hears lines go in
+// one second, the oldest first; the rest adds up and follows.
+func (w *world) collect(conns map[string]net.Conn) {
+	type pair struct{ zone, host string }
 	for range time.Tick(time.Second) {
 		w.mu.Lock()
-		for id, s := range w.stats[zone] {
-			if s.tries == 0 {
-				continue
+		var due []pair
+		for zone, hosts := range w.stats {
+			for id, s := range hosts {
+				if s.tries > 0 {
+					due = append(due, pair{zone, id})
+				}
 			}
-			h := w.hosts[id]
+		}
+		sort.Slice(due, func(i, j int) bool {
+			first, second := w.stats[due[i].zone][due[i].host], w.stats[due[j].zone][due[j].host]
+			return first.sinceMs < second.sinceMs
+		})
+		for _, d := range due[:min(len(due), max(w.site.hears-len(w.proxies)/4, 0))] {
+			s, h, now := w.stats[d.zone][d.host], w.hosts[d.host], nowMs()
 			mean := 0.0
 			if s.tries > s.failed {
 				mean = s.okMs / float64(s.tries-s.failed)
 			}
-			words := []string{"LOAD", "zone", zone, "server", id, "tries", strconv.Itoa(s.tries), "failed",
-				strconv.Itoa(min(s.failed, s.tries)), "mean_ms", num(mean), "span_ms", "1000.0"}
+			words := []string{"LOAD", "zone", d.zone, "server", d.host, "tries", strconv.Itoa(s.tries), "failed",
+				strconv.Itoa(min(s.failed, s.tries)), "mean_ms", num(mean), "span_ms", num(max(now-s.sinceMs, 1))}
 			if s.tries > s.failed {
 				var values []string
 				for name, value := range w.load(h) {
@@ -375,8 +401,9 @@
 				}
 				words = append(words, "load", strings.Join(values, ","))
 			}
-			w.at(nowMs()+400, func() { w.send(conn, words...) })
-			*s = zoneStats{}
+			conn := conns[d.zone]
+			w.at(now+w.site.heardLateMs, func() { w.send(conn, words...) })
+			w.stats[d.zone][d.host] = &zoneStats{sinceMs: now}
 		}
 		w.mu.Unlock()
 	}
@@ -411,6 +438,9 @@
 		w.site.graceMs+slackMs, w.longestBareMs, w.site.bareMs+slackMs, w.highestPush, w.site.fallMultiple, w.broken)
 	w.record("%s", summary)
 	count := w.broken[w.rule]
+	if w.rule == "any" {
+		count = len(w.broken)
+	}
 	w.recordMu.Lock()
 	_ = w.out.Flush()
 	_ = file.Close()
--- a/review/_standin/platform.go
+++ b/review/_standin/platform.go
@@ -229,7 +229,7 @@
 func (w *world) load(h *host) map[string]float64 {
 	cores := float64(w.site.cores)
 	all := map[string]float64{"queue": math.Max(0, float64(h.inflight)-cores), "latency_ms": h.latencyMs,
-		"util": math.Min(1, float64(h.inflight)/cores), "qps": h.rate}
+		"util": math.Min(1, float64(h.inflight)/cores), "qps": h.rate, "inflight": float64(h.inflight)}
 	report := map[string]float64{}
 	for _, name := range w.site.reports {
 		report[name] = all[name]
--- a/review/_standin/proxy.go
+++ b/review/_standin/proxy.go
@@ -24,8 +24,9 @@
 
 	messagesMs []float64 // when its messages entered the channel, since it joined
 	pending    []map[string]string
-	arriveMs   float64 // when the last message on its way arrives
-	sentMs     float64 // when the last message that it has applied was sent
+	arriveMs   float64  // when the last message on its way arrives
+	onWay      []func() // what the messages on their way do when they arrive, in order
+	sentMs     float64  // when the last message that it has applied was sent
 
 	failures map[string]int // tries at a host in a row that failed
 	avoidMs  map[string]float64
@@ -44,6 +45,7 @@
 type zoneStats struct {
 	tries, failed int
 	okMs          float64
+	sinceMs       float64 // when the period began
 }
 
 func (w *world) addProxy(number int, zone string, weight float64) *proxy {
@@ -65,6 +67,13 @@
 		p.tables = append(p.tables, table)
 		p.levels = append(p.levels, level{})
 	}
+	if number >= len(w.site.zones)*w.site.proxiesByZone-w.site.elsewhere { // it was given a whole table by its controller
+		for _, table := range p.tables {
+			for id := range w.hosts {
+				table[id] = 1
+			}
+		}
+	}
 	p.bareMs = make([]float64, len(w.site.classes))
 	p.arrived = make([]int, len(w.site.classes))
 	p.unserved = make([]int, len(w.site.classes))
@@ -155,9 +164,7 @@
 	w.record("message proxy=%d lines=%.0f waiting=%.0f in_10s=%d %v", p.number, lines, w.waiting(at), inWindow, brief(parts))
 	arrive := math.Max(p.arriveMs, w.freeMs+w.site.lateMs*(0.7+0.6*rand.Float64()))
 	p.arriveMs = arrive
-	apply := func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
+	p.onWay = append(p.onWay, func() {
 		if p.conn != conn {
 			return
 		}
@@ -166,8 +173,14 @@
 		if stamp := parts[len(parts)-1]["stamp"]; stamp != "" {
 			go w.send(conn, "ACK", "proxy", strconv.Itoa(p.number), "mark", stamp, "took_ms", num(nowMs()-at))
 		}
-	}
-	w.at(arrive, apply)
+	})
+	w.at(arrive, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		first := p.onWay[0]
+		p.onWay = p.onWay[1:]
+		first()
+	})
 }
 
 func brief(parts []map[string]string) string {
@@ -340,8 +353,10 @@
 	h := w.hosts[id]
 	w.checkDrain(p, h, at)
 	stats := w.stats[p.zone][id]
-	if stats == nil {
-		stats = &zoneStats{}
+	if stats == nil || p.joinedMs == 0 { // what a proxy without a stream meets is not reported
+		stats = &zoneStats{sinceMs: at}
+	}
+	if p.joinedMs > 0 {
 		w.stats[p.zone][id] = stats
 	}
 	stats.tries++
