Show that drains leave one by one while the channel is busy

Cause: removals that wait are written one host a message as soon as one fits, and every message costs seven lines beside its row. Change: case 1 of the review; a case of drains behind the limit of messages makes room for it, and the others are numbered anew.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
 cd ../.. || exit 2
 run=$(sed -n 's/^run *= *"\([^"]*\)".*/\1/p' deploy/balancer.toml)
 [ -x review/bin/standin ] && [ -n "$run" ] || exit 2
-exec review/bin/standin -case replace -record "$folder/record.txt" -run "$run" -root "$PWD"
+exec review/bin/standin -case cold -record "$folder/record.txt" -run "$run" -root "$PWD"
--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"time"
 )
 
@@ -13,10 +12,11 @@
 	trouble func(*world)
 }
 
+// cases are the plays by name. The review's three cases are release, known and cold; its report tells of the others.
 var cases = map[string]played{
 	"replace": {replaceSite, "drain", replaceHosts},
 	"bare":    {bareSite, "lost", loseZone},
-	"herd":    {herdSite, "any", herd},
+	"release": {manySite, "drain", release},
 	"known":   {knownSite, "lost", nil},
 	"cold":    {coldSite, "failback", loseZone},
 }
@@ -144,8 +144,9 @@
 	time.Sleep(10 * time.Second)
 }
 
-// herdSite has the figures that the bench prints for a day of kochkiste-orders with 240 proxies.
-func herdSite() site {
+// manySite has the figures that the bench prints for a day of kochkiste-orders with 240 proxies and 200 hosts. All proxies
+// are at one controller.
+func manySite() site {
 	return site{
 		zones: []string{"wien", "graz", "linz"},
 		classes: []class{
@@ -156,54 +157,31 @@
 		hostsPerZone: 67, proxiesByZone: 80, rate: 1900, head: 6, lateMs: 187, mostWaiting: 6300, messagesMost: 0, bareMs: 5700,
 		graceMs: 4000, coldFrom: 0.23, coldMs: 15000, fallMultiple: 3, fallMs: 3000, ejects: 8, retryDefault: 1, clientRepeats: 1,
 		requestRate: 1090, cores: 3, speed: 1.2, holds: 40, reports: []string{"inflight"}, admission: "none",
-		hears: 150, heardLateMs: 1200, elsewhere: 192, instances: 5,
+		hears: 150, heardLateMs: 1200, instances: 5, spread: 0.6,
 	}
 }
 
-// herd is a release: half of the hosts are replaced in four steps. Meanwhile four of five controllers are killed, and their
-// proxies come to the one that is left.
-func herd(w *world) {
-	time.Sleep(14 * time.Second)
-	count := len(w.hosts)
-	w.mu.Lock()
-	var all []*host
-	for _, h := range w.hosts {
-		all = append(all, h)
-	}
-	w.mu.Unlock()
-	step := func(from, to int) {
+// release replaces six in ten hosts in four steps within 7 s.
+func release(w *world) {
+	time.Sleep(45 * time.Second)
+	perZone := w.site.hostsPerZone * 6 / 10
+	for step := range 4 {
+		var fresh, drained []entry
 		w.mu.Lock()
-		var fresh, drained, gone []entry
-		for i := from; i < to; i++ {
-			old := all[i]
-			fresh = append(fresh, w.entryOf(w.addHost("s-9"+old.id[2:], old.zone, nowMs()), "Ready"))
-			drained = append(drained, w.entryOf(old, "Terminating"))
-			gone = append(gone, w.entryOf(old, "Gone"))
+		for zone := range w.site.zones {
+			for i := perZone * step / 4; i < perZone*(step+1)/4; i++ {
+				old := w.hosts[fmt.Sprintf("s-%d%03d", zone, i)]
+				fresh = append(fresh, w.entryOf(w.addHost("s-9"+old.id[2:], old.zone, nowMs()), "Ready"))
+				drained = append(drained, w.entryOf(old, "Terminating"))
+			}
 		}
 		w.mu.Unlock()
 		time.AfterFunc(1100*time.Millisecond, func() { w.agent.set(fresh...) })
-		time.AfterFunc(2300*time.Millisecond, func() { w.agent.set(drained...) })
-		time.AfterFunc(10*time.Second, func() {
-			w.mu.Lock()
-			for i := from; i < to; i++ {
-				w.kill(all[i])
-			}
-			w.mu.Unlock()
-			w.agent.set(gone...)
+		time.AfterFunc(2300*time.Millisecond, func() {
+			w.record("step %d of the release is listed: %d hosts", step+1, len(drained))
+			w.agent.set(drained...)
 		})
+		time.Sleep(2200 * time.Millisecond)
 	}
-	portion := count * 15 / 100
-	step(0, portion)
-	time.Sleep(2100 * time.Millisecond)
-	step(portion, 2*portion)
-	time.Sleep(900 * time.Millisecond)
-	w.record("four controllers are killed")
-	for _, p := range w.proxies[len(w.proxies)-w.site.elsewhere:] {
-		time.AfterFunc(time.Duration(200+800*rand.Float64())*time.Millisecond, func() { w.join(p, "0") })
-	}
-	time.Sleep(1200 * time.Millisecond)
-	step(2*portion, 3*portion)
-	time.Sleep(2500 * time.Millisecond)
-	step(3*portion, count/2)
-	time.Sleep(20 * time.Second)
+	time.Sleep(15 * time.Second)
 }
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -60,9 +60,10 @@
 	logRequests   bool
 	hears         int // report lines a second
 	heardLateMs   float64
-	elsewhere     int  // proxies that are joined to other controllers at first
-	instances     int  // controllers; 0: one
-	oldKnown      bool // the disruption is an old list of known hosts
+	elsewhere     int     // proxies that are joined to other controllers at first
+	instances     int     // controllers; 0: one
+	spread        float64 // of the work, lognormal; 0: even within a tenth of the mean
+	oldKnown      bool    // the disruption is an old list of known hosts
 }
 
 type world struct {
@@ -132,7 +133,7 @@
 			close(over)
 		}()
 	} else {
-		time.AfterFunc(40*time.Second, func() { close(over) })
+		time.AfterFunc(70*time.Second, func() { close(over) })
 	}
 	select {
 	case <-over:
@@ -290,10 +291,8 @@
 
 // startTraffic joins the proxies and collectors, and starts the clients.
 func (w *world) startTraffic() {
-	for i, p := range w.proxies {
-		if i < len(w.proxies)-w.site.elsewhere {
-			w.join(p, "1")
-		}
+	for _, p := range w.proxies {
+		w.join(p, "1")
 		go w.reportDemand(p)
 		go w.clients(p)
 	}
@@ -438,9 +437,6 @@
 		w.site.graceMs+slackMs, w.longestBareMs, w.site.bareMs+slackMs, w.highestPush, w.site.fallMultiple, w.broken)
 	w.record("%s", summary)
 	count := w.broken[w.rule]
-	if w.rule == "any" {
-		count = len(w.broken)
-	}
 	w.recordMu.Lock()
 	_ = w.out.Flush()
 	_ = file.Close()
--- a/review/_standin/proxy.go
+++ b/review/_standin/proxy.go
@@ -67,13 +67,6 @@
 		p.tables = append(p.tables, table)
 		p.levels = append(p.levels, level{})
 	}
-	if number >= len(w.site.zones)*w.site.proxiesByZone-w.site.elsewhere { // it was given a whole table by its controller
-		for _, table := range p.tables {
-			for id := range w.hosts {
-				table[id] = 1
-			}
-		}
-	}
 	p.bareMs = make([]float64, len(w.site.classes))
 	p.arrived = make([]int, len(w.site.classes))
 	p.unserved = make([]int, len(w.site.classes))
@@ -316,6 +309,9 @@
 		return // it is not let in, and would be refused again
 	}
 	work := spec.workMs * (0.9 + 0.2*rand.Float64())
+	if w.site.spread > 0 {
+		work = spec.workMs * math.Exp(w.site.spread*rand.NormFloat64()-w.site.spread*w.site.spread/2)
+	}
 	giveUpMs := spec.patienceMs * 0.7
 	answered := func(ok bool, why string) {
 		if w.site.logRequests {
