Give the review's controller an address that nothing else can take

Cause: with several stand-ins at once a listener of another could take the controller's port, and the run passed without a controller. Change: a loopback address of its own, the answer to PING is read, and a controller that ends before its time ends the run with 2.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -19,6 +19,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -94,7 +95,11 @@
 	out      *bufio.Writer
 }
 
-var stewardCommand *exec.Cmd
+var (
+	stewardCommand *exec.Cmd
+	stewardEnded   = make(chan struct{})
+	stopping       atomic.Bool // the controller is to end
+)
 
 func main() {
 	name := flag.String("case", "", "the case to play")
@@ -161,7 +166,12 @@
 
 // startSteward writes the configuration and starts a controller by the command of the deploy file.
 func (w *world) startSteward(run, root string) {
-	listener := listen()
+	// An address of its own: no other listener can take the port before the controller does.
+	own := fmt.Sprintf("127.%d.%d.%d:0", 64+rand.IntN(128), 1+rand.IntN(254), 1+rand.IntN(254))
+	listener, err := net.Listen("tcp", own)
+	if err != nil {
+		cannotRun("listening: %v", err)
+	}
 	w.steward = listener.Addr().String()
 	_ = listener.Close()
 	folder, err := os.MkdirTemp("", "case")
@@ -193,15 +203,21 @@
 		cannotRun("starting the steward: %v", err)
 	}
 	stewardCommand = command
+	go func() {
+		_ = command.Wait()
+		close(stewardEnded)
+		if !stopping.Load() {
+			cannotRun("the steward has ended")
+		}
+	}()
 	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
 		conn, err := net.Dial("tcp", w.steward)
 		if err == nil {
 			_ = conn.SetDeadline(time.Now().Add(time.Second))
 			_, _ = conn.Write(message("PING"))
-			words := make([]byte, 64)
-			count, _ := conn.Read(words)
+			words, err := readMessage(bufio.NewReader(conn))
 			_ = conn.Close()
-			if count > 0 {
+			if err == nil && len(words) == 1 && words[0] == "PONG" {
 				break
 			}
 		}
@@ -241,13 +257,13 @@
 	if stewardCommand == nil || stewardCommand.Process == nil {
 		return
 	}
+	stopping.Store(true)
 	_ = stewardCommand.Process.Signal(syscall.SIGTERM)
-	ended := make(chan struct{})
-	go func() { _ = stewardCommand.Wait(); close(ended) }()
 	select {
-	case <-ended:
+	case <-stewardEnded:
 	case <-time.After(2 * time.Second):
 		_ = stewardCommand.Process.Kill()
+		<-stewardEnded
 	}
 }
 
