--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -31,7 +31,8 @@
 		},
 		hostsPerZone: 5, proxiesByZone: 3, rate: 7100, head: 6, lateMs: 270, mostWaiting: 7100, messagesMost: 20, bareMs: 5300,
 		graceMs: 3000, coldFrom: 0.15, coldMs: 18000, fallMultiple: 4, fallMs: 3000, ejects: 3, retryDefault: 1, clientRepeats: 1,
-		requestRate: 120, cores: 4, speed: 0.9, holds: 40, reports: []string{"queue", "latency_ms"}, admission: "none", hears: 200, heardLateMs: 400, logRequests: true,
+		requestRate: 120, cores: 4, speed: 0.9, holds: 40, reports: []string{"queue", "latency_ms"},
+		admission: "none", hears: 200, heardLateMs: 400, logRequests: true,
 	}
 }
 
@@ -81,12 +82,14 @@
 		zones: []string{"half-way-tree", "portmore", "spanish-town"},
 		classes: []class{
 			{name: "status-read", share: 0.54, workMs: 320, aimMs: 1500, patienceMs: 5000, earning: 2, effect: "idempotent"},
-			{name: "submit-image", share: 0.25, workMs: 320, aimMs: 1500, patienceMs: 4000, earning: 3, effect: "deduplicated"},
+			{name: "submit-image", share: 0.25, workMs: 320, aimMs: 1500, patienceMs: 4000, earning: 3,
+				effect: "deduplicated", scope: "zone", windowMs: 4000},
 			{name: "release-sign", share: 0.21, workMs: 540, aimMs: 3000, patienceMs: 10000, earning: 3, effect: "at_most_once"},
 		},
 		hostsPerZone: 5, proxiesByZone: 2, rate: 2200, head: 4, lateMs: 425, mostWaiting: 3300, messagesMost: 0, bareMs: 2900,
 		graceMs: 2800, coldFrom: 0.18, coldMs: 15000, fallMultiple: 4, fallMs: 1500, ejects: 5, retryDefault: 0, clientRepeats: 3,
-		requestRate: 77, cores: 3, speed: 0.97, holds: 30, reports: []string{"util", "qps"}, admission: "share", hears: 200, heardLateMs: 400, logRequests: true,
+		requestRate: 77, cores: 3, speed: 0.97, holds: 30, reports: []string{"util", "qps"}, admission: "share",
+		hears: 750, heardLateMs: 400, logRequests: true,
 		oldKnown: true,
 	}
 }
@@ -104,7 +107,8 @@
 		zones: []string{"san-jose", "liberia", "limon"},
 		classes: []class{
 			{name: "job-check", share: 0.7, workMs: 305, aimMs: 2000, patienceMs: 5000, earning: 1, staysLocal: true},
-			{name: "job-order", share: 0.3, workMs: 200, aimMs: 1000, patienceMs: 3000, earning: 5, staysLocal: true},
+			{name: "job-order", share: 0.3, workMs: 200, aimMs: 1000, patienceMs: 3000, earning: 5, staysLocal: true,
+				effect: "deduplicated", scope: "cell", windowMs: 2000},
 		},
 		hostsPerZone: 6, proxiesByZone: 5, rate: 12000, head: 10, lateMs: 240, mostWaiting: 24000, messagesMost: 0, bareMs: 4000,
 		graceMs: 2000, coldFrom: 0.23, coldMs: 17000, fallMultiple: 2.5, fallMs: 1500, ejects: 0, retryDefault: 1, clientRepeats: 2,
@@ -151,7 +155,8 @@
 		zones: []string{"wien", "graz", "linz"},
 		classes: []class{
 			{name: "basket-view", share: 0.43, workMs: 210, aimMs: 1200, patienceMs: 4000, earning: 1, effect: "idempotent"},
-			{name: "basket-edit", share: 0.4, workMs: 210, aimMs: 1500, patienceMs: 4000, earning: 2, effect: "deduplicated"},
+			{name: "basket-edit", share: 0.4, workMs: 210, aimMs: 1500, patienceMs: 4000, earning: 2,
+				effect: "deduplicated", scope: "zone", windowMs: 2500},
 			{name: "checkout", share: 0.17, workMs: 320, aimMs: 2000, patienceMs: 5000, earning: 5, effect: "at_most_once"},
 		},
 		hostsPerZone: 67, proxiesByZone: 80, rate: 1900, head: 6, lateMs: 187, mostWaiting: 6300, messagesMost: 0, bareMs: 5700,
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -30,6 +30,8 @@
 	aimMs, patienceMs, earning float64
 	staysLocal                 bool
 	effect                     string // idempotent if it is empty
+	scope                      string // of its key: all if it is empty
+	windowMs                   float64
 }
 
 // site holds the figures of a deployment.
@@ -240,6 +242,7 @@
 		if w.site.oldKnown && w.trouble {
 			version = 7
 			e.InstanceID = "s-old" + e.InstanceID[2:]
+			e.HostPort = fmt.Sprintf("127.9.%d.%d:9000", 1+len(entries)/200, 1+len(entries)%200) // nothing listens there
 		}
 		entries = append(entries, e)
 	}
@@ -278,8 +281,12 @@
 		if effect == "" {
 			effect = "idempotent"
 		}
+		scope, windowMs := c.scope, c.windowMs
+		if scope == "" {
+			scope, windowMs = "all", 5000
+		}
 		services = append(services, map[string]any{"AimUs": us(c.aimMs), "Effect": effect, "HardLimitUs": us(c.patienceMs),
-			"KeyScope": "all", "LateWorth": 0.1, "Name": c.name, "Value": c.earning, "WindowUs": 5000000})
+			"KeyScope": scope, "LateWorth": 0.1, "Name": c.name, "Value": c.earning, "WindowUs": us(windowMs)})
 		local = append(local, c.staysLocal)
 		writes = append(writes, false)
 	}
@@ -374,8 +381,12 @@
 			p.arrived[i], p.unserved[i] = 0, 0
 			if conn != nil && arrived > 0 {
 				w.at(nowMs()+w.site.heardLateMs, func() {
-					w.send(conn, "RATE", "proxy", strconv.Itoa(p.number), "class", c.name, "tries", strconv.Itoa(arrived),
-						"failed", strconv.Itoa(min(unserved, arrived)), "span_ms", num(float64(w.demandPeriod().Milliseconds())))
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					if p.conn == conn {
+						p.write("RATE", "proxy", strconv.Itoa(p.number), "class", c.name, "tries", strconv.Itoa(arrived),
+							"failed", strconv.Itoa(min(unserved, arrived)), "span_ms", num(float64(w.demandPeriod().Milliseconds())))
+					}
 				})
 			}
 		}
--- a/review/_standin/proxy.go
+++ b/review/_standin/proxy.go
@@ -20,7 +20,8 @@
 	levels   []level
 	shut     map[string]bool
 	conn     net.Conn
-	joinedMs float64 // 0: not joined
+	out      chan []byte // what it writes on its stream, in order
+	joinedMs float64     // 0: not joined
 
 	messagesMs []float64 // when its messages entered the channel, since it joined
 	pending    []map[string]string
@@ -82,14 +83,34 @@
 	}
 	w.mu.Lock()
 	p.conn = conn
+	p.out = make(chan []byte, 1000)
 	p.joinedMs = nowMs()
 	p.messagesMs = nil
 	p.pending = nil
+	go write(conn, p.out)
+	p.write("SUBSCRIBE", "proxy", strconv.Itoa(p.number), "zone", p.zone, "weight", num(p.weight), "fresh", fresh)
 	w.mu.Unlock()
-	w.send(conn, "SUBSCRIBE", "proxy", strconv.Itoa(p.number), "zone", p.zone, "weight", num(p.weight), "fresh", fresh)
 	go w.readStream(p, conn)
 }
 
+// write writes messages on a stream until the stream ends.
+func write(conn net.Conn, out <-chan []byte) {
+	for text := range out {
+		_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		if _, err := conn.Write(text); err != nil {
+			return
+		}
+	}
+}
+
+// write puts a message in the queue of the proxy's stream.
+func (p *proxy) write(words ...string) {
+	select {
+	case p.out <- message(words...):
+	default: // the steward has not read for long
+	}
+}
+
 func (w *world) send(conn net.Conn, words ...string) {
 	_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
 	_, _ = conn.Write(message(words...))
@@ -164,7 +185,7 @@
 		w.apply(p, parts)
 		p.sentMs = at
 		if stamp := parts[len(parts)-1]["stamp"]; stamp != "" {
-			go w.send(conn, "ACK", "proxy", strconv.Itoa(p.number), "mark", stamp, "took_ms", num(nowMs()-at))
+			p.write("ACK", "proxy", strconv.Itoa(p.number), "mark", stamp, "took_ms", num(nowMs()-at))
 		}
 	})
 	w.at(arrive, func() {
