Count hosts without a start time as started long ago, whenever they appear

The node and the daemon's controller worked around it by applying the very first list twice; the node did so only where no host was known.

Change: 0 means long ago in the balancer. The daemon's controller, whose endpoint sources have no start times, passes the time at which a host is added to the list. Both workarounds are gone.

TestLaterHostsWithoutStartTime failed in all three variants before the change ("CONFIG replace 1 gate 1 ..." without rows) and passes with it.

The controller's tests pass unchanged, and fail if a later host without a start time counts as started long ago there.

--- a/controller/endpoints.go
+++ b/controller/endpoints.go
@@ -118,7 +118,6 @@
 	sorted := append([]Endpoint(nil), entries...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Host < sorted[j].Host })
 	if !c.endpoints.known {
-		c.endpoints.known = true
 		c.observeFirstEndpoints(sorted)
 		return
 	}
@@ -130,17 +129,14 @@
 	c.observeEntries(changed)
 }
 
-// observeFirstEndpoints passes the first list to the balancer twice, first as a cached list of unknown age and then as
-// the current one. This is how the balancer learns that hosts of the first list without a start time started long ago,
-// and that later ones have just started.
+// observeFirstEndpoints passes the first list to the balancer, as a snapshot.
 func (c *Controller) observeFirstEndpoints(sorted []Endpoint) {
 	for i := range sorted {
 		sorted[i].StartedMs = c.startMs(sorted[i])
 	}
-	c.balancer.ObserveSnapshot(true)
-	c.observeEntries(sorted)
 	c.balancer.ObserveSnapshot(false)
 	c.observeEntries(sorted)
+	c.endpoints.known = true
 	c.restoreHosts(sorted)
 	// Proxies have not been sent their empty tables so far, see classTableOf.
 	for _, session := range c.sessions.byIndex {
@@ -195,14 +191,14 @@
 	c.endpoints.removed = append(c.endpoints.removed, removedHost{host, forgetAtMs})
 }
 
-// observeEntries passes entries to the balancer. A host that was removed and is listed again without a start time
-// counts as started now.
+// observeEntries passes entries to the balancer. A host without a start time that is added to a list counts as started
+// now, also if it was removed and is listed again; one of the first list counts as started long ago.
 func (c *Controller) observeEntries(entries []Endpoint) {
 	for _, endpoint := range entries {
 		host := endpoint.Host
 		old, listed := c.endpoints.effective[host]
 		startedMs := endpoint.StartedMs
-		if _, known := c.hostIndex.IndexOf[host]; known && !listed && startedMs == 0 {
+		if c.endpoints.known && !listed && startedMs == 0 {
 			startedMs = c.nowMs
 		}
 		index := c.hostIndex.Index(host)
--- a/internal/platform/endpoint_apply.go
+++ b/internal/platform/endpoint_apply.go
@@ -24,14 +24,10 @@
 	n.config.knownEndpoints = watchEvent{}
 }
 
-// applyWatchEvent passes a valid watch event to the balancer; cached says that its age is unknown. The first event with
-// hosts is passed twice, first as a cached one, so that its hosts without a start time count as started long ago and
-// not as new.
+// applyWatchEvent passes a valid watch event to the balancer; cached says that its age is unknown. With the first event
+// that has hosts, it connects the proxies that wait for them.
 func (n *Node) applyWatchEvent(event watchEvent, cached bool) {
 	first := n.balancer.HostIndexCount() == 0
-	if first && !cached {
-		n.applyWatchEvent(event, true)
-	}
 	if event.Snapshot {
 		for host := range n.balancer.HostIndexCount() {
 			n.markRemoved(host)
@@ -48,7 +44,7 @@
 		Bool("snapshot", event.Snapshot).
 		Int("entries", len(event.Endpoints)).
 		Msg("endpoint list event applied")
-	if first && cached {
+	if first {
 		n.connectEarlyProxies()
 	}
 }
--- a/internal/platform/watch_event_test.go
+++ b/internal/platform/watch_event_test.go
@@ -55,3 +55,41 @@
 		}
 	}
 }
+
+// Hosts without a start time that are listed later than the known endpoints started long ago: a proxy that connects must
+// not lose its hosts to a table that is empty until they count as warm.
+func TestLaterHostsWithoutStartTime(t *testing.T) {
+	replaced := endpointEntry{Name: "s-0", Address: "127.0.0.1:1", Zone: "a", Lifecycle: "Ready", Weight: 1}
+	current := endpointEntry{Name: "s-1", Address: "127.0.0.1:1", Zone: "a", Lifecycle: "Ready", Weight: 1}
+	for _, test := range []struct {
+		name   string
+		known  []endpointEntry
+		events []watchEvent
+	}{
+		{"known hosts have all been replaced", []endpointEntry{replaced}, []watchEvent{
+			{Snapshot: true, Endpoints: []endpointEntry{current}},
+		}},
+		{"the first snapshot is empty", nil, []watchEvent{
+			{Snapshot: true},
+			{Endpoints: []endpointEntry{current}},
+		}},
+		{"a later snapshot has other hosts", nil, []watchEvent{
+			{Snapshot: true, Endpoints: []endpointEntry{replaced}},
+			{Snapshot: true, Endpoints: []endpointEntry{current}},
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			config := newTestConfig(t, noDiscovery, 0)
+			config.knownEndpoints.Endpoints = test.known
+			node, address := startNode(t, config)
+			waitForRound(t, node)
+			callInEventLoop(t, node, func() bool {
+				for _, event := range test.events {
+					node.applyWatchEvent(event, false)
+				}
+				return true
+			})
+			dial(t, address, subscribeProxy0).expect(firstSnapshot)
+		})
+	}
+}
--- a/routing/discovery.go
+++ b/routing/discovery.go
@@ -17,7 +17,7 @@
 	// defaultBaseWeight is the base weight of a host without a weight on the endpoint list.
 	defaultBaseWeight = 1.0
 
-	// startUnknown is endpointRecord.startedAtMs of a host whose start was not observed: it counts as warm.
+	// startUnknown is endpointRecord.startedAtMs of a host without a start time: it started long ago and counts as warm.
 	startUnknown = -1
 )
 
@@ -33,9 +33,8 @@
 
 // discoveryState is the state of the watch of the endpoint list.
 type discoveryState struct {
-	snapshotReceived bool    // a snapshot came from the source itself, not from a cache
-	watchFailed      bool    // since the last round
-	watchBackoffMs   float64 // the last backoff, before jitter; 0 after a snapshot or delta
+	watchFailed    bool    // since the last round
+	watchBackoffMs float64 // the last backoff, before jitter; 0 after a snapshot or delta
 }
 
 // ObserveSnapshot begins a snapshot: the following calls of ObserveEndpoint record all endpoints, and hosts without
@@ -45,7 +44,6 @@
 		b.hosts[i].endpoint.state = Removed
 	}
 	if !cached {
-		b.discovery.snapshotReceived = true
 		b.discovery.watchBackoffMs = 0
 	}
 }
@@ -58,9 +56,8 @@
 func (b *Balancer) ObserveWatchFailure() { b.discovery.watchFailed = true }
 
 // ObserveEndpoint records one endpoint of a snapshot or delta. baseWeight is the weight as discovered; 0 or less
-// means none. startedAtMs is the instant at which the host started; 0 or less means unknown. A new start resets what
-// was known of the host. A host that first appears after the first snapshot from the source is assumed to have just
-// started.
+// means none. startedAtMs is the instant at which the host started; 0 or less means long ago, whenever the host first
+// appears. A new start resets what was known of the host.
 func (b *Balancer) ObserveEndpoint(host, zone int, state HostState, baseWeight, startedAtMs float64) {
 	record := b.host(host)
 	if baseWeight <= 0 {
@@ -71,9 +68,6 @@
 		record.endpoint.baseWeight = baseWeight
 		record.balance.weight = baseWeight
 		record.stats.meanLatencyMs = b.fleet.medianLatencyMs
-		if b.discovery.snapshotReceived && startedAtMs <= 0 {
-			startedAtMs = b.nowMs
-		}
 	}
 	restarted := startedAtMs > 0 && startedAtMs != record.endpoint.startedAtMs
 	if restarted || state != record.endpoint.state {
