Collect urgent updates while the control channel is busy

What callers saw: 120 of 201 hosts are replaced in four steps within 6.6 s, 240 proxies at one controller.

Cause, the first of two: publishUrgent wrote each removal that fits by itself, one round after the other. On a busy channel there is capacity for one more host as soon as a few messages are acknowledged, so each message carried one entry and an overhead of seven. Evidence, from the record of the case's messages by second: from the second step on 210 to 320 messages a second, each with one removal ("rows HOST:0 stamp N", 8 lines), 1,700 to 2,500 lines a second of which seven in eight are overhead; the channel is always busy and never over 4,230 of 6,300 lines. Weights, table assignments and other updates were ruled out: none was written while removals waited.

Change: urgent updates are written once all of them fit, or the channel is about to be idle, or after a second where proxies do not acknowledge. The channel delivers in order, so what is written later while it is busy arrives no later.

TestDrainGraceOnBusyChannel at 105 proxies failed before (15.0 s, 4.3 s allowed) and passes with this. Its channel now tracks which hosts each proxy holds, and TestDrainGraceBesideWarmingHosts is checked by that too, with the same bound.

--- a/routing/controlchannel_test.go
+++ b/routing/controlchannel_test.go
@@ -24,10 +24,18 @@
 	queuedEntries     float64
 	mostQueuedEntries float64
 
-	removed          []int         // hosts removed from a table in the current round
-	removedByVersion map[int][]int // hosts removed from a table, by version
-	undelivered      map[int]int   // number of messages that have not arrived, by version
-	removedAtMs      map[int]float64
+	changes   map[int][]tableChange // of the current round, by proxy
+	routes    map[int]map[int]bool  // hosts in the tables that have arrived, by proxy
+	heldAtMs  map[int]float64       // when a proxy last routed to a host that drains, by host
+	emptyMs   map[int]float64       // how long a proxy has had a table without hosts, by proxy
+	mostEmpty float64               // the longest of these times
+}
+
+// tableChange is a change of the table by which a proxy routes.
+type tableChange struct {
+	replace bool // the table was empty before
+	host    int
+	remove  bool
 }
 
 // queuedMessage is a message to one proxy.
@@ -36,6 +44,7 @@
 	version     int
 	entries     float64
 	arrivesAtMs float64
+	changes     []tableChange
 }
 
 const (
@@ -45,15 +54,16 @@
 
 func newSlowChannel(set settings, throughputRatio float64, hosts int) *slowChannel {
 	return &slowChannel{
-		Balancer:         set.newBalancer(hosts),
-		config:           set.channel,
-		throughputRatio:  throughputRatio,
-		tables:           map[int]map[int]float64{},
-		assigned:         map[int]int{},
-		roundEntries:     map[int]float64{},
-		removedByVersion: map[int][]int{},
-		undelivered:      map[int]int{},
-		removedAtMs:      map[int]float64{},
+		Balancer:        set.newBalancer(hosts),
+		config:          set.channel,
+		throughputRatio: throughputRatio,
+		tables:          map[int]map[int]float64{},
+		assigned:        map[int]int{},
+		roundEntries:    map[int]float64{},
+		changes:         map[int][]tableChange{},
+		routes:          map[int]map[int]bool{},
+		heldAtMs:        map[int]float64{},
+		emptyMs:         map[int]float64{},
 	}
 }
 
@@ -63,13 +73,13 @@
 	}
 	if weight == 0 {
 		delete(c.tables[table], host)
-		c.removed = append(c.removed, host)
 	} else {
 		c.tables[table][host] = weight
 	}
 	for proxy, assigned := range c.assigned {
 		if assigned == table {
 			c.roundEntries[proxy]++
+			c.changes[proxy] = append(c.changes[proxy], tableChange{host: host, remove: weight == 0})
 		}
 	}
 }
@@ -77,6 +87,10 @@
 func (c *slowChannel) AssignTable(proxy, table, _ int) {
 	c.assigned[proxy] = table
 	c.roundEntries[proxy] = 1 + float64(len(c.tables[table]))
+	c.changes[proxy] = []tableChange{{replace: true}}
+	for host := range c.tables[table] {
+		c.changes[proxy] = append(c.changes[proxy], tableChange{host: host})
+	}
 }
 
 func (c *slowChannel) SetAdmission(int, int, float64, int) {
@@ -92,12 +106,15 @@
 			continue
 		}
 		entries += c.config.MessageOverhead + 1
-		c.queue = append(c.queue, queuedMessage{proxy: proxy, version: version, entries: entries})
+		c.queue = append(c.queue, queuedMessage{
+			proxy:   proxy,
+			version: version,
+			entries: entries,
+			changes: c.changes[proxy],
+		})
 		c.queuedEntries += entries
-		c.undelivered[version]++
 	}
-	c.removedByVersion[version] = c.removed
-	c.removed = nil
+	clear(c.changes)
 	clear(c.roundEntries)
 	c.mostQueuedEntries = max(c.mostQueuedEntries, c.queuedEntries)
 }
@@ -144,15 +161,65 @@
 		if message.arrivesAtMs > nowMs {
 			return false
 		}
+		c.apply(message)
 		c.Ack(message.proxy, message.version)
-		c.undelivered[message.version]--
-		if c.undelivered[message.version] == 0 {
-			for _, host := range c.removedByVersion[message.version] {
-				c.removedAtMs[host] = nowMs
-			}
-		}
 		return true
 	})
+	draining := slices.DeleteFunc(slices.Clone(c.hostOrder), func(host int) bool {
+		return c.hosts[host].endpoint.state == Ready
+	})
+	for proxy, hosts := range c.routes {
+		for _, host := range draining {
+			if hosts[host] {
+				c.heldAtMs[host] = nowMs
+			}
+		}
+		c.emptyMs[proxy] += channelStepMs
+		if len(hosts) > 0 {
+			c.emptyMs[proxy] = 0
+		}
+		c.mostEmpty = max(c.mostEmpty, c.emptyMs[proxy])
+	}
+}
+
+// apply changes the table of a message's proxy.
+func (c *slowChannel) apply(message queuedMessage) {
+	for _, change := range message.changes {
+		switch {
+		case change.replace:
+			c.routes[message.proxy] = map[int]bool{}
+		case change.remove:
+			delete(c.routes[message.proxy], change.host)
+		default:
+			c.routes[message.proxy][change.host] = true
+		}
+	}
+}
+
+// checkRemoved checks that no proxy routes to hosts that began to drain at drainedAtMs later than the drain grace allows.
+func (c *slowChannel) checkRemoved(t *testing.T, hosts []int, drainedAtMs float64) {
+	t.Helper()
+	const allowanceMs = 300 // of the platform, for its network
+	latestMs := 0.0
+	for _, host := range hosts {
+		latestMs = max(latestMs, c.heldAtMs[host]-drainedAtMs)
+	}
+	if latestMs == 0 {
+		t.Errorf("no proxy had one of hosts %v in its table, want one at least", hosts)
+	}
+	if latestMs > c.limits.DrainGraceMs+allowanceMs {
+		t.Errorf("a proxy had a host in its table %.0f ms after the host began to drain, want at most %.0f ms",
+			latestMs, c.limits.DrainGraceMs+allowanceMs)
+	}
+}
+
+// hostRange returns the hosts from first up to, and without, end.
+func hostRange(first, end int) []int {
+	var hosts []int
+	for host := first; host < end; host++ {
+		hosts = append(hosts, host)
+	}
+	return hosts
 }
 
 // report records the attempts at all ready hosts.
@@ -227,13 +294,53 @@
 	}
 	drainedAtMs := nowMs
 	c.run(nowMs, 6000)
-	for host := range 60 {
-		tookMs := c.removedAtMs[host] - drainedAtMs
-		if tookMs < 0 || tookMs > set.limits.DrainGraceMs+300 {
-			t.Errorf("host %d was removed from the tables %.0f ms after it began to drain (below 0: never), "+
-				"want at most %.0f ms", host, tookMs, set.limits.DrainGraceMs+300)
-			break
-		}
+	c.checkRemoved(t, hostRange(0, 60), drainedAtMs)
+}
+
+// Six in ten hosts are replaced in four steps while the channel is busy with the removals of the steps before. They must
+// leave the tables within the drain grace, and not one by one, each with the overhead of a message.
+func TestDrainGraceOnBusyChannel(t *testing.T) {
+	for _, proxies := range []int{60, 105} {
+		t.Run(fmt.Sprintf("%d proxies", proxies), func(t *testing.T) {
+			set := defaultSettings()
+			set.deployment.HealthChecks = false
+			set.deployment.Proxies = proxies
+			set.limits.DrainGraceMs = 4000
+			set.channel = ControlChannel{
+				EntriesPerSecond:   1900,
+				MessageOverhead:    6,
+				MaxBacklog:         6300,
+				PropagationDelayMs: 187,
+				Cost:               0.02,
+			}
+			const hosts, steps, stepHosts, stepMs = 200, 4, 30, 2200
+			c := newSlowChannel(set, 1, hosts)
+			nowMs := c.run(1000, 60000)
+			var drainedAtMs [steps]float64
+			for step := range steps {
+				c.ObserveDelta()
+				for _, host := range hostRange(step*stepHosts, (step+1)*stepHosts) {
+					c.ObserveEndpoint(hosts+host, host%2, Ready, 1, nowMs)
+				}
+				nowMs = c.run(nowMs, stepMs/2)
+				c.ObserveDelta()
+				for _, host := range hostRange(step*stepHosts, (step+1)*stepHosts) {
+					c.ObserveEndpoint(host, host%2, Draining, 1, 0)
+				}
+				drainedAtMs[step] = nowMs
+				nowMs = c.run(nowMs, stepMs/2)
+			}
+			c.run(nowMs, 20000)
+			for step := range steps {
+				c.checkRemoved(t, hostRange(step*stepHosts, (step+1)*stepHosts), drainedAtMs[step])
+			}
+			if c.mostEmpty > set.limits.EmptyTableMs {
+				t.Errorf("a proxy had a table without hosts for %.0f ms, want at most %.0f", c.mostEmpty, set.limits.EmptyTableMs)
+			}
+			if c.mostQueuedEntries > set.channel.MaxBacklog {
+				t.Errorf("%.0f entries were queued at once, want at most %.0f", c.mostQueuedEntries, set.channel.MaxBacklog)
+			}
+		})
 	}
 }
 
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -36,7 +36,7 @@
 	batch         updateBatch
 	assignments   assignmentCounts
 	tables        []sharedTableState // by table number
-	urgentDue     bool               // urgent updates have been collected for urgentGatherMs
+	urgentDue     bool               // urgent updates have been collected for long enough
 	urgentPending bool               // a removal or slow-start cut does not fit this round
 	ordinary      []weightUpdate     // updates to write after the urgent ones
 }
@@ -57,7 +57,6 @@
 		batch:       b.newUpdateBatch(assignments),
 		assignments: assignments,
 		tables:      b.publishing.tables,
-		urgentDue:   b.nowMs >= b.publishing.urgentSentAtMs+urgentGatherMs,
 	}
 	if b.publishing.version == 0 && assignments.unassigned == 0 {
 		return
--- a/routing/publishurgent.go
+++ b/routing/publishurgent.go
@@ -6,8 +6,13 @@
 	"sort"
 )
 
-// urgentGatherMs is the time for which urgent updates are collected into one message.
-const urgentGatherMs = 350.0
+const (
+	// urgentGatherMs is the least time for which urgent updates are collected into one message.
+	urgentGatherMs = 350.0
+
+	// urgentGatherMaxMs is the longest time for which urgent updates are collected, on a channel that stays busy.
+	urgentGatherMaxMs = 1000.0
+)
 
 // updateUrgency ranks the weight updates of a round.
 type updateUrgency int
@@ -34,6 +39,7 @@
 		round.tables[number].withoutWarmTarget = !b.hasWarmTarget(number)
 		round.tables[number].withoutWarmEntry = !b.hasWarmEntry(number)
 	}
+	round.urgentDue = b.urgentDue(round)
 	order := b.publishOrder()
 	for urgency := range updateUrgency(len(urgencyFill)) {
 		for _, index := range order {
@@ -45,6 +51,37 @@
 	}
 }
 
+// urgentDue reports whether urgent updates may be written. Each message has an overhead, so they are collected until
+// the channel has capacity for all of them or is about to be idle: while it is busy, a message that is written later
+// arrives no later. Where proxies do not acknowledge, the channel may only seem to be busy: then they are collected for
+// urgentGatherMaxMs.
+func (b *Balancer) urgentDue(round *publishRound) bool {
+	gatheredMs := b.nowMs - b.publishing.urgentSentAtMs
+	if gatheredMs < urgentGatherMs {
+		return false
+	}
+	idleEntries := b.channel.EntriesPerSecond * urgentGatherMs / msPerSecond
+	return round.batch.initialBacklog <= idleEntries ||
+		round.batch.fitsEntries(b.pendingUrgentEntries(round), round.assignments.assigned, removalFill) ||
+		gatheredMs >= urgentGatherMaxMs
+}
+
+// pendingUrgentEntries returns the number of entries, without the message overhead, that the urgent updates need.
+func (b *Balancer) pendingUrgentEntries(round *publishRound) float64 {
+	entries := 0
+	for _, index := range b.hostOrder {
+		host := &b.hosts[index]
+		if b.urgency(host) == ordinaryUrgency {
+			continue
+		}
+		table := &round.tables[b.sharedTable(host.endpoint.zone)]
+		if b.targetWeight(host, table.withoutWarmTarget) != host.publication.weight {
+			entries += host.publication.holders
+		}
+	}
+	return float64(entries)
+}
+
 // publishOrder returns the hosts in the order of discovery or, where urgent updates are waiting for the channel, in
 // the order in which their state or start last changed.
 func (b *Balancer) publishOrder() []int {
--- a/routing/updatebatch.go
+++ b/routing/updatebatch.go
@@ -42,12 +42,17 @@
 	u.backlog += entries
 }
 
-// fits reports whether the control channel has capacity for one more entry to each of the given number of proxies:
-// the backlog, and the messages to each proxy, stay within the fraction fill of the channel's limits. All
-// unacknowledged entries together, in transit or not, always stay within removalFill.
+// fits reports whether the control channel has capacity for one more entry to each of the given number of proxies.
 func (u *updateBatch) fits(proxies int, fill float64) bool {
+	return u.fitsEntries(float64(proxies), proxies, fill)
+}
+
+// fitsEntries reports whether the control channel has capacity for more entries, without the message overhead, to the
+// given number of proxies: the backlog, and the messages to each proxy, stay within the fraction fill of the channel's
+// limits. All unacknowledged entries together, in transit or not, always stay within removalFill.
+func (u *updateBatch) fitsEntries(entries float64, proxies int, fill float64) bool {
 	newMessages := min(proxies, u.assigned-u.proxies)
-	backlog := u.backlog + float64(proxies) + float64(newMessages)*u.messageOverhead
+	backlog := u.backlog + entries + float64(newMessages)*u.messageOverhead
 	limit := u.channel.MaxBacklog
 	if backlog > fill*limit || backlog+u.unacknowledged-u.initialBacklog > removalFill*limit {
 		return false
