Give proxies a subset where the removals of many hosts would outlast the drain grace

Cause, the second of two: a removal costs an entry for each proxy on the shared table. 30 hosts in a step for 105 such proxies are 3,990 entries each 2.2 s, beside what waits already, at 1,900 entries a second; for all 240 proxies 9,120.

Change: where the backlog and the waiting removals need more than half of the drain grace, proxies get a subset of the hosts in place of the shared table, as connecting proxies do for the same reason. It costs a few entries, whatever the number of removed hosts. Those with the least traffic come first, and only as many as needed. assignSubset now also keeps the bound on all unacknowledged entries, since it may fill the channel as far as removals.

TestDrainGraceOnBusyChannel at 240 proxies failed before (25.5 s, 4.3 s allowed) and passes with this.

--- a/routing/assignment.go
+++ b/routing/assignment.go
@@ -106,7 +106,7 @@
 		case !subsetFirst && b.maySendSharedTable(round, proxy, cost):
 			b.assignSharedTable(round, index, cost)
 		case subsetFirst && !proxy.ownsTable || !round.urgentPending && b.lacksHosts(proxy, round.assignments.ratePerWeight):
-			b.assignSubset(round, index)
+			b.assignSubset(round, index, protectiveFill)
 		}
 	}
 }
@@ -171,13 +171,13 @@
 	proxy.ownsTable = false
 }
 
-// assignSubset makes a proxy route by its own table, which holds a subset of the hosts, or refills that table. It
-// does nothing where the channel has no capacity left or there are no hosts to add.
-func (b *Balancer) assignSubset(round *publishRound, index int) {
+// assignSubset makes a proxy route by its own table, which holds a subset of the hosts, or refills that table. It does
+// nothing, and returns false, where the channel has no capacity left within the fraction fill of its limits or there
+// are no hosts to add.
+func (b *Balancer) assignSubset(round *publishRound, index int, fill float64) bool {
 	batch := &round.batch
-	fits := batch.backlog+batch.messageOverhead+minSubsetSize <= protectiveFill*b.channel.MaxBacklog
-	if b.zoneLocal || !fits {
-		return
+	if b.zoneLocal || !batch.hasCapacity(batch.messageOverhead+minSubsetSize, fill) {
+		return false
 	}
 	proxy := &b.proxies[index]
 	if !proxy.ownsTable {
@@ -185,7 +185,7 @@
 	}
 	added := b.fillSubset(round, index)
 	if added == 0 {
-		return
+		return false
 	}
 	batch.addEntries(index, float64(added))
 	if !proxy.ownsTable {
@@ -194,6 +194,7 @@
 	}
 	proxy.assigned = true
 	proxy.ownsTable = true
+	return true
 }
 
 // clearSubset removes all hosts from a proxy's own table.
--- a/routing/controlchannel_test.go
+++ b/routing/controlchannel_test.go
@@ -300,7 +300,7 @@
 // Six in ten hosts are replaced in four steps while the channel is busy with the removals of the steps before. They must
 // leave the tables within the drain grace, and not one by one, each with the overhead of a message.
 func TestDrainGraceOnBusyChannel(t *testing.T) {
-	for _, proxies := range []int{60, 105} {
+	for _, proxies := range []int{60, 105, 240} {
 		t.Run(fmt.Sprintf("%d proxies", proxies), func(t *testing.T) {
 			set := defaultSettings()
 			set.deployment.HealthChecks = false
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -62,6 +62,7 @@
 		return
 	}
 	b.updateSlowStart(writer)
+	b.assignSubsetsForRemovals(round)
 	b.publishUrgent(round)
 	b.publishing.urgentPending = round.urgentPending
 	weightsAllowed := b.rolloutAcknowledged() && !round.urgentPending
--- a/routing/updatebatch.go
+++ b/routing/updatebatch.go
@@ -49,17 +49,23 @@
 
 // fitsEntries reports whether the control channel has capacity for more entries, without the message overhead, to the
 // given number of proxies: the backlog, and the messages to each proxy, stay within the fraction fill of the channel's
-// limits. All unacknowledged entries together, in transit or not, always stay within removalFill.
+// limits.
 func (u *updateBatch) fitsEntries(entries float64, proxies int, fill float64) bool {
 	newMessages := min(proxies, u.assigned-u.proxies)
-	backlog := u.backlog + entries + float64(newMessages)*u.messageOverhead
-	limit := u.channel.MaxBacklog
-	if backlog > fill*limit || backlog+u.unacknowledged-u.initialBacklog > removalFill*limit {
+	if !u.hasCapacity(entries+float64(newMessages)*u.messageOverhead, fill) {
 		return false
 	}
 	return u.proxies >= u.assigned || u.channel.allowsMessage(u.maxMessagesSent, fill)
 }
 
+// hasCapacity reports whether the backlog stays within the fraction fill of its limit with more entries, the message
+// overhead included, and all unacknowledged entries within removalFill.
+func (u *updateBatch) hasCapacity(entries, fill float64) bool {
+	backlog := u.backlog + entries
+	inTransit := u.unacknowledged - u.initialBacklog
+	return backlog <= fill*u.channel.MaxBacklog && backlog+inTransit <= removalFill*u.channel.MaxBacklog
+}
+
 // sendBatch stamps the round's updates with their version, and counts each proxy's message as unacknowledged.
 func (b *Balancer) sendBatch(writer UpdateWriter, batch *updateBatch) {
 	if batch.backlog > batch.initialBacklog {
