Decide slow start for each shared table and not for the whole fleet

What callers saw: all hosts of one of three zones are lost and return cold, with classes that must stay in their zone.

Cause: each zone has its own table there, but updateSlowStart decided for the whole fleet. A warm host of any zone made it apply the rule by which a host that is warming up gets a small weight beside the warm ones; in its zone's table it is alone and gets everything. Evidence, from the case's record: the host is the only entry of its zone's table with a weight below 0.1, no "slow start changed" is logged after the loss, and all work came from proxies whose last message was sent in knowledge of the start.

Change: slowStartState, with its sums, is kept for each shared table. One table for all zones behaves as before: no golden file changes. The log line names the zone where zones have their own tables.

TestZoneLocalHostsWarmingUp failed before (host 0 in the table with weight 0.208 at 9,200 ms, alone) and passes with this.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -38,7 +38,7 @@
 	reports    reportTiming
 	fleet      fleetStats
 	admission  admissionState
-	slowStart  slowStartState
+	slowStart  []slowStartState // by number of the shared table
 	checks     healthCheckState
 	subsetMode subsetModeState
 	retryStorm retryStormState
@@ -61,6 +61,7 @@
 		random:          jitterSource{seed: deployment.Seed},
 		zoneReconnected: make([]bool, deployment.Zones),
 		fleet:           fleetStats{successRatio: 1},
+		slowStart:       make([]slowStartState, deployment.Zones+1),
 		admission:       newAdmissionState(len(classes), deployment.DefaultRetryPolicy),
 	}
 	b.reports.lastAtMs = noReportYet
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -3,8 +3,8 @@
 import "math"
 
 const (
-	// slowStartOnlyMargin is the load, as a multiple of the fleet's base weight, that the hosts that are warming up
-	// must be able to take together before they get traffic in a fleet without a warm host.
+	// slowStartOnlyMargin is the load, as a multiple of a table's base weight, that the hosts that are warming up must
+	// be able to take together before they get traffic in a table without a warm host.
 	slowStartOnlyMargin = 2.0
 
 	// slowStartLoadShare is the load that a host that is warming up may get, as a fraction of the load at which it
@@ -21,14 +21,15 @@
 	slowStartCutRatio = 0.6
 )
 
-// slowStartState limits the traffic of hosts that are warming up.
+// slowStartState limits the traffic of the hosts of a shared table that are warming up.
 type slowStartState struct {
 	allowed        bool    // hosts that are warming up may get traffic at all
 	publishedShare float64 // published weight of the warm hosts, as a fraction of the current capacity of all ready hosts
+	capacity       tableCapacity
 }
 
-// fleetCapacity holds sums over the fleet's hosts, in units of weight.
-type fleetCapacity struct {
+// tableCapacity holds sums over the hosts of a shared table, in units of weight.
+type tableCapacity struct {
 	total     float64 // base weights of all hosts
 	ready     float64 // base weights of the ready hosts, times their slow-start factors
 	published float64 // published weights of the warm hosts, or their weights after rebalancing where larger
@@ -46,44 +47,66 @@
 	return initial + (1-initial)*math.Max(b.nowMs-startedAtMs, 0)/b.limits.SlowStartMs
 }
 
-// slowStartLoadFactor returns a factor from 0 to 1 on the weight of hosts that are warming up. It is lower where the
-// fleet fails attempts or its warm hosts are published with less than their capacity, so that all proxies together
-// stay below the load at which such a host collapses.
-func (b *Balancer) slowStartLoadFactor() float64 {
+// slowStartOf returns the slow-start state of the shared table that holds a host.
+func (b *Balancer) slowStartOf(host *hostRecord) *slowStartState {
+	return &b.slowStart[b.sharedTable(host.endpoint.zone)]
+}
+
+// slowStartLoadFactor returns a factor from 0 to 1 on the weight of a host that is warming up. It is lower where the
+// fleet fails attempts or the warm hosts of its table are published with less than their capacity, so that all proxies
+// together stay below the load at which such a host collapses.
+func (b *Balancer) slowStartLoadFactor(host *hostRecord) float64 {
 	loadShare := math.Min(1, b.limits.CollapseMultiple*slowStartLoadShare)
-	return b.fleet.successRatio * b.slowStart.publishedShare * loadShare
+	return b.fleet.successRatio * b.slowStartOf(host).publishedShare * loadShare
 }
 
-// updateSlowStart decides whether hosts that are warming up may get traffic, and updates the published share of the
-// warm hosts. While a ready host is warm they get none until reports show the effect of this instance's own first
-// weights, nor while proxies that eject hosts by themselves may eject most of them and leave only a host that has just
-// started. Where no ready host is warm, those that are warming up get traffic once they can take all of it
-// together.
+// updateSlowStart decides for each shared table whether its hosts that are warming up may get traffic.
 func (b *Balancer) updateSlowStart(writer UpdateWriter) {
-	capacity := b.measureFleetCapacity()
+	b.measureTableCapacities()
+	if !b.zoneLocal {
+		b.updateTableSlowStart(writer, &b.slowStart[b.sharedTable(0)], nil)
+		return
+	}
+	for zone := range b.deployment.Zones {
+		fields := []Field{{"zone", float64(zone), 0}}
+		b.updateTableSlowStart(writer, &b.slowStart[b.sharedTable(zone)], fields)
+	}
+}
+
+// updateTableSlowStart decides whether hosts of a table that are warming up may get traffic, and updates the published
+// share of its warm hosts. While a ready host is warm they get none until reports show the effect of this instance's
+// own first weights, nor while proxies that eject hosts by themselves may eject most of them and leave only a host that
+// has just started. Where no ready host is warm, those that are warming up get traffic once they can take all of it
+// together. It logs a change with the given fields first.
+func (b *Balancer) updateTableSlowStart(writer UpdateWriter, table *slowStartState, fields []Field) {
+	capacity := &table.capacity
 	var allowed bool
 	if capacity.anyWarm {
-		b.slowStart.publishedShare = math.Min(1, capacity.published/math.Max(capacity.ready, minDivisor))
+		table.publishedShare = math.Min(1, capacity.published/math.Max(capacity.ready, minDivisor))
 		allowed = b.reports.lastAtMs >= b.reports.observableAtMs && !b.proxiesMayEjectMost()
 	} else {
-		b.slowStart.publishedShare = 1
+		table.publishedShare = 1
 		allowed = capacity.ready*b.limits.CollapseMultiple >= slowStartOnlyMargin*capacity.total
 	}
-	if allowed == b.slowStart.allowed {
+	if allowed == table.allowed {
 		return
 	}
-	b.slowStart.allowed = allowed
-	writer.Log(Event{SlowStartChanged, NoHost, []Field{
-		{"allowed", indicator(allowed), 0},
-		{"success_ratio", b.fleet.successRatio, 2},
-	}})
+	table.allowed = allowed
+	writer.Log(Event{SlowStartChanged, NoHost, append(fields,
+		Field{"allowed", indicator(allowed), 0},
+		Field{"success_ratio", b.fleet.successRatio, 2},
+	)})
 }
 
-// measureFleetCapacity sums the capacity over all hosts; those that are not ready count only in the total.
-func (b *Balancer) measureFleetCapacity() fleetCapacity {
-	var capacity fleetCapacity
+// measureTableCapacities sums the capacity over the hosts of each shared table; those that are not ready count only in
+// the total.
+func (b *Balancer) measureTableCapacities() {
+	for table := range b.slowStart {
+		b.slowStart[table].capacity = tableCapacity{}
+	}
 	for _, index := range b.hostOrder {
 		host := &b.hosts[index]
+		capacity := &b.slowStartOf(host).capacity
 		capacity.total += host.endpoint.baseWeight
 		if host.endpoint.state != Ready {
 			continue
@@ -98,7 +121,6 @@
 			capacity.published += math.Max(host.publication.weight, host.balance.weight)
 		}
 	}
-	return capacity
 }
 
 // proxiesMayEjectMost reports whether proxies that eject hosts by themselves are likely to eject most hosts.
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -94,3 +94,27 @@
 	}
 	h.checkTrace(t)
 }
+
+// A zone loses all its hosts and they return one by one, in a deployment whose classes must stay in their zone. The
+// warm hosts of the other zone are not in the zone's table: its first host must not get the traffic of the whole zone.
+func TestZoneLocalHostsWarmingUp(t *testing.T) {
+	set := defaultSettings()
+	for class := range set.classes {
+		set.classes[class].ZoneLocal = true
+	}
+	h := newHarness(set, 6)
+	reports := uniformReports(6, healthyReport)
+	h.run(5000, reports)
+	h.ObserveDelta()
+	for _, host := range []int{0, 2, 4} {
+		h.ObserveEndpoint(host, 0, Removed, 1, 0)
+		delete(reports, host)
+	}
+	h.run(3000, reports)
+	for _, host := range []int{0, 2, 4} {
+		h.restartHost(host, 0)
+		h.run(400, reports)
+	}
+	h.run(6000, reports)
+	h.checkTrace(t)
+}
--- a/routing/weight.go
+++ b/routing/weight.go
@@ -32,10 +32,10 @@
 	}
 	slowStart := b.slowStartFactor(host)
 	if slowStart < 1 {
-		if !b.slowStart.allowed {
+		if !b.slowStartOf(host).allowed {
 			return 0
 		}
-		slowStart *= b.slowStartLoadFactor()
+		slowStart *= b.slowStartLoadFactor(host)
 	}
 	penalty := math.Min(b.successPenalty(host), b.suspicionPenalty(host))
 	weight := math.Max(host.balance.weight, minWeightRatio*host.endpoint.baseWeight)
