Spread the messages of removals over the message window

What callers saw: 25 of 42 hosts are replaced one after the other within 6.8 s; proxies send to drained hosts for 4.3 s (3.3 s are allowed).

Cause: removals were collected for 0.35 s each, whatever the limit of messages. The 18 messages that they may use within 10 s were sent in 6.3 s, then all removals waited until the first of them no longer counted. Evidence: the record counts 18 messages within 10 s, the channel holds 1,200 of 7,100 lines at the most.

Change: they are collected for as long as the messages that are left last until the oldest one leaves the window, within 0.3 of the drain grace. Without a limit of messages nothing changes.

TestDrainGraceWithMessageLimit failed before (4.45 s, 3.3 s allowed) and passes with this.

--- a/routing/assignment.go
+++ b/routing/assignment.go
@@ -14,10 +14,11 @@
 
 // assignmentCounts counts the proxies by the tables that they route by.
 type assignmentCounts struct {
-	assigned        int     // connected proxies with a table
-	unassigned      int     // connected proxies without a table
-	maxMessagesSent int     // messages sent within the message window to the proxy that was sent most
-	ratePerWeight   float64 // requests a second for each unit of published weight
+	assigned         int     // connected proxies with a table
+	unassigned       int     // connected proxies without a table
+	maxMessagesSent  int     // messages sent within the message window to the proxy that was sent most
+	messageSpacingMs float64 // the longest ControlChannel.messageSpacingMs of a proxy
+	ratePerWeight    float64 // requests a second for each unit of published weight
 }
 
 // sharedTable returns the number of the table that a zone's proxies share: one for all zones, or the zone's own where
@@ -49,6 +50,8 @@
 		}
 		b.expireMessages(proxy, maxTransitMs)
 		counts.maxMessagesSent = max(counts.maxMessagesSent, len(proxy.messageTimesMs))
+		counts.messageSpacingMs = max(counts.messageSpacingMs,
+			b.channel.messageSpacingMs(proxy.messageTimesMs, b.nowMs))
 		requestRate += proxy.requestRate
 		if !proxy.assigned {
 			counts.unassigned++
--- a/routing/controlchannel.go
+++ b/routing/controlchannel.go
@@ -61,6 +61,16 @@
 	return c.MaxMessages == 0 || float64(sent+1+reservedMessages) <= fill*float64(c.MaxMessages)
 }
 
+// messageSpacingMs returns the time between messages to a proxy by which those that it may still be sent last until
+// its oldest one leaves the message window. sentAtMs are the send times within the window, oldest first.
+func (c ControlChannel) messageSpacingMs(sentAtMs []float64, nowMs float64) float64 {
+	if c.MaxMessages == 0 || len(sentAtMs) == 0 {
+		return 0
+	}
+	left := math.Floor(removalFill*float64(c.MaxMessages)) - float64(reservedMessages+len(sentAtMs))
+	return (sentAtMs[0] + c.MessageWindowMs - nowMs) / math.Max(1, left)
+}
+
 // maxTransitMs returns the time after which a message has left the channel, acknowledged or not: that of a full
 // channel at its lowest throughput.
 func (c ControlChannel) maxTransitMs() float64 {
--- a/routing/controlchannel_test.go
+++ b/routing/controlchannel_test.go
@@ -394,3 +394,45 @@
 		})
 	}
 }
+
+// Hosts are replaced one after the other for most of the message window. The messages that the window allows must last for
+// all of them: a removal that waits for the oldest message to leave the window outlasts the drain grace.
+func TestDrainGraceWithMessageLimit(t *testing.T) {
+	const (
+		hosts     = 42
+		replaced  = 25
+		spacingMs = 300
+		startMs   = 1500 // of a replacement
+	)
+	set := defaultSettings()
+	set.deployment.HealthChecks = false
+	set.deployment.Proxies = 24
+	set.limits.DrainGraceMs = 3000
+	set.channel = ControlChannel{
+		EntriesPerSecond:   7100,
+		MessageOverhead:    6,
+		MaxBacklog:         7100,
+		PropagationDelayMs: 270,
+		MaxMessages:        20,
+		MessageWindowMs:    10000,
+		Cost:               0.02,
+	}
+	c := newSlowChannel(set, 1, hosts)
+	nowMs := c.run(1000, 30000)
+	var drainedAtMs [replaced]float64
+	for host := range replaced + startMs/spacingMs {
+		c.ObserveDelta()
+		if host < replaced {
+			c.ObserveEndpoint(host, host%2, Draining, 1, 0)
+			drainedAtMs[host] = nowMs
+		}
+		if started := host - startMs/spacingMs; started >= 0 {
+			c.ObserveEndpoint(hosts+started, started%2, Ready, 1, nowMs-startMs)
+		}
+		nowMs = c.run(nowMs, spacingMs)
+	}
+	c.run(nowMs, 10000)
+	for host := range replaced {
+		c.checkRemoved(t, []int{host}, drainedAtMs[host])
+	}
+}
--- a/routing/publishurgent.go
+++ b/routing/publishurgent.go
@@ -12,6 +12,10 @@
 
 	// urgentGatherMaxMs is the longest time for which urgent updates are collected, on a channel that stays busy.
 	urgentGatherMaxMs = 1000.0
+
+	// urgentGatherGraceShare is the fraction of the drain grace for which urgent updates are collected at the most, so
+	// that the messages that a proxy may be sent last.
+	urgentGatherGraceShare = 0.3
 )
 
 // updateUrgency ranks the weight updates of a round.
@@ -57,7 +61,7 @@
 // urgentGatherMaxMs.
 func (b *Balancer) urgentDue(round *publishRound) bool {
 	gatheredMs := b.nowMs - b.publishing.urgentSentAtMs
-	if gatheredMs < urgentGatherMs {
+	if gatheredMs < b.minUrgentGatherMs(round) {
 		return false
 	}
 	idleEntries := b.channel.EntriesPerSecond * urgentGatherMs / msPerSecond
@@ -66,6 +70,13 @@
 		gatheredMs >= urgentGatherMaxMs
 }
 
+// minUrgentGatherMs returns the time for which urgent updates are collected at least: urgentGatherMs or, where the
+// messages that may still be sent to a proxy would not last, longer, within urgentGatherGraceShare of the drain grace.
+func (b *Balancer) minUrgentGatherMs(round *publishRound) float64 {
+	spacingMs := math.Min(round.assignments.messageSpacingMs, b.limits.DrainGraceMs*urgentGatherGraceShare)
+	return math.Max(urgentGatherMs, spacingMs)
+}
+
 // pendingUrgentEntries returns the number of entries, without the message overhead, that the urgent updates need.
 func (b *Balancer) pendingUrgentEntries(round *publishRound) float64 {
 	entries := 0
--- a/routing/removalsubset.go
+++ b/routing/removalsubset.go
@@ -11,7 +11,7 @@
 // for each removed host. It gives them to as few proxies as needed, those with the least traffic first. They get the
 // shared table again as assignTables finds capacity for it.
 func (b *Balancer) assignSubsetsForRemovals(round *publishRound) {
-	if b.zoneLocal || b.nowMs < b.publishing.urgentSentAtMs+urgentGatherMs {
+	if b.zoneLocal || b.nowMs < b.publishing.urgentSentAtMs+b.minUrgentGatherMs(round) {
 		return
 	}
 	excess := round.batch.backlog + b.removalCost(round) - b.removalCapacity()
