--- a/internal/platform/watch_event_test.go
+++ b/internal/platform/watch_event_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// Hosts without a start time that are listed later than the known endpoints started long ago: a proxy that connects must
-// not lose its hosts to a table that is empty until they count as warm.
+// Hosts without a start time that are listed later than the known endpoints started long ago: a proxy that connects
+// must not lose its hosts to a table that is empty until they count as warm.
 func TestLaterHostsWithoutStartTime(t *testing.T) {
 	replaced := endpointEntry{Name: "s-0", Address: "127.0.0.1:1", Zone: "a", Lifecycle: "Ready", Weight: 1}
 	current := endpointEntry{Name: "s-1", Address: "127.0.0.1:1", Zone: "a", Lifecycle: "Ready", Weight: 1}
--- a/routing/removalsubset.go
+++ b/routing/removalsubset.go
@@ -11,14 +11,16 @@
 // for each removed host. It gives them to as few proxies as needed, those with the least traffic first. They get the
 // shared table again as assignTables finds capacity for it.
 func (b *Balancer) assignSubsetsForRemovals(round *publishRound) {
-	if b.zoneLocal || b.nowMs < b.publishing.urgentSentAtMs+b.minUrgentGatherMs(round) {
+	removals := b.countRemovals(b.hostOrder)
+	gathered := b.nowMs >= b.publishing.urgentSentAtMs+b.minUrgentGatherMs(round)
+	if b.zoneLocal || removals == 0 || !gathered {
 		return
 	}
-	excess := round.batch.backlog + b.removalCost(round) - b.removalCapacity()
+	excess := round.batch.backlog + b.removalCost(round, removals) - b.removalCapacity()
 	if excess <= 0 {
 		return
 	}
-	rowsCost := float64(b.countRemovals(b.hostOrder)) + round.batch.messageOverhead
+	messageCost := float64(removals) + round.batch.messageOverhead
 	assigned := false
 	for _, index := range b.sharedTableProxies() {
 		before := round.batch.backlog
@@ -26,7 +28,7 @@
 			continue
 		}
 		assigned = true
-		saved := rowsCost - (round.batch.backlog - before)
+		saved := messageCost - (round.batch.backlog - before)
 		excess -= saved
 		if excess <= 0 || saved <= 0 {
 			break
@@ -43,12 +45,9 @@
 	return b.channel.EntriesPerSecond * b.limits.DrainGraceMs / msPerSecond * removalGraceShare
 }
 
-// removalCost returns the number of entries that all waiting removals cost, with the message overhead.
-func (b *Balancer) removalCost(round *publishRound) float64 {
-	sharedRemovals := b.countRemovals(b.hostOrder)
-	if sharedRemovals == 0 {
-		return 0
-	}
+// removalCost returns the number of entries that all waiting removals cost, with the message overhead. sharedRemovals
+// is the number of those from the shared table.
+func (b *Balancer) removalCost(round *publishRound, sharedRemovals int) float64 {
 	cost := 0.0
 	for i := range b.proxies {
 		proxy := &b.proxies[i]
