--- a/routing/controlchannel_test.go
+++ b/routing/controlchannel_test.go
@@ -75,12 +75,20 @@
 // Six in ten hosts are replaced in four steps while the channel is busy with the removals of the steps before. They
 // must leave the tables within the drain grace, and not one by one, each with the overhead of a message.
 func TestDrainGraceOnBusyChannel(t *testing.T) {
-	for _, proxies := range []int{60, 105, 240} {
-		t.Run(fmt.Sprintf("%d proxies", proxies), func(t *testing.T) {
+	for _, test := range []struct {
+		proxies int
+		graceMs float64
+	}{
+		{60, 4000},
+		{105, 4000},
+		{240, 4000},  // most proxies need subsets
+		{105, 10000}, // all proxies can keep the shared table
+	} {
+		t.Run(fmt.Sprintf("%d proxies, grace %.0f ms", test.proxies, test.graceMs), func(t *testing.T) {
 			set := defaultSettings()
 			set.deployment.HealthChecks = false
-			set.deployment.Proxies = proxies
-			set.limits.DrainGraceMs = 4000
+			set.deployment.Proxies = test.proxies
+			set.limits.DrainGraceMs = test.graceMs
 			set.channel = ControlChannel{
 				EntriesPerSecond:   1900,
 				MessageOverhead:    6,
