Use subsets also where a request class must stay in its zone

Cause: assignSubset did nothing there, since a subset might have held hosts of other zones. So neither proxies that connect nor those that wait for many removals could get one, and only whole tables and single removals were left.

Change: a subset is drawn from the hosts of the proxy's shared table, which is its zone's there, and the removals are counted by table.

TestDrainGraceOnBusyChannel with zoneLocal:true failed before (16.3 s) and passes with this; it also checks that no proxy routes to a host of another zone. No golden file changes.

--- a/routing/assignment.go
+++ b/routing/assignment.go
@@ -149,7 +149,7 @@
 		return true
 	}
 	entries := float64(round.assignments.unassigned)*cost + round.batch.initialBacklog
-	late := !b.zoneLocal && b.exceedsAssignmentGrace(entries)
+	late := b.exceedsAssignmentGrace(entries)
 	return !proxy.assigned && (late || round.urgentPending)
 }
 
@@ -179,7 +179,7 @@
 // are no hosts to add.
 func (b *Balancer) assignSubset(round *publishRound, index int, fill float64) bool {
 	batch := &round.batch
-	if b.zoneLocal || !batch.hasCapacity(batch.messageOverhead+minSubsetSize, fill) {
+	if !batch.hasCapacity(batch.messageOverhead+minSubsetSize, fill) {
 		return false
 	}
 	proxy := &b.proxies[index]
--- a/routing/controlchannel_test.go
+++ b/routing/controlchannel_test.go
@@ -76,16 +76,19 @@
 // must leave the tables within the drain grace, and not one by one, each with the overhead of a message.
 func TestDrainGraceOnBusyChannel(t *testing.T) {
 	for _, test := range []struct {
-		proxies int
-		graceMs float64
+		proxies   int
+		graceMs   float64
+		zoneLocal bool
 	}{
-		{60, 4000},
-		{105, 4000},
-		{240, 4000},  // most proxies need subsets
-		{105, 10000}, // all proxies can keep the shared table
+		{60, 4000, false},
+		{105, 4000, false},
+		{240, 4000, false},  // most proxies need subsets
+		{240, 4000, true},   // subsets of their zone's hosts
+		{105, 10000, false}, // all proxies can keep the shared table
 	} {
-		t.Run(fmt.Sprintf("%d proxies, grace %.0f ms", test.proxies, test.graceMs), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%+v", test), func(t *testing.T) {
 			set := defaultSettings()
+			set.classes[0].ZoneLocal = test.zoneLocal
 			set.deployment.HealthChecks = false
 			set.deployment.Proxies = test.proxies
 			set.limits.DrainGraceMs = test.graceMs
@@ -109,6 +112,7 @@
 				c.checkRemoved(t, hostRange(step*stepHosts, (step+1)*stepHosts), drainedAtMs[step])
 			}
 			c.checkLimits(t)
+			c.checkZones(t)
 		})
 	}
 }
--- a/routing/removalsubset.go
+++ b/routing/removalsubset.go
@@ -11,16 +11,14 @@
 // for each removed host. It gives them to as few proxies as needed, those with the least traffic first. They get the
 // shared table again as assignTables finds capacity for it.
 func (b *Balancer) assignSubsetsForRemovals(round *publishRound) {
-	removals := b.countRemovals(b.hostOrder)
-	gathered := b.nowMs >= b.publishing.urgentSentAtMs+b.minUrgentGatherMs(round)
-	if b.zoneLocal || removals == 0 || !gathered {
+	if b.nowMs < b.publishing.urgentSentAtMs+b.minUrgentGatherMs(round) {
 		return
 	}
-	excess := round.batch.backlog + b.removalCost(round, removals) - b.removalCapacity()
+	b.countTableRemovals(round.tables)
+	excess := round.batch.backlog + b.removalCost(round) - b.removalCapacity()
 	if excess <= 0 {
 		return
 	}
-	messageCost := float64(removals) + round.batch.messageOverhead
 	assigned := false
 	for _, index := range b.sharedTableProxies() {
 		before := round.batch.backlog
@@ -28,7 +26,8 @@
 			continue
 		}
 		assigned = true
-		saved := messageCost - (round.batch.backlog - before)
+		removals := round.tables[b.sharedTable(b.proxies[index].zone)].removals
+		saved := float64(removals) + round.batch.messageOverhead - (round.batch.backlog - before)
 		excess -= saved
 		if excess <= 0 || saved <= 0 {
 			break
@@ -45,18 +44,27 @@
 	return b.channel.EntriesPerSecond * b.limits.DrainGraceMs / msPerSecond * removalGraceShare
 }
 
-// removalCost returns the number of entries that all waiting removals cost, with the message overhead. sharedRemovals
-// is the number of those from the shared table.
-func (b *Balancer) removalCost(round *publishRound, sharedRemovals int) float64 {
+// countTableRemovals counts the waiting removals from each shared table.
+func (b *Balancer) countTableRemovals(tables []sharedTableState) {
+	for _, index := range b.hostOrder {
+		host := &b.hosts[index]
+		if host.isRemovalPending() {
+			tables[b.sharedTable(host.endpoint.zone)].removals++
+		}
+	}
+}
+
+// removalCost returns the number of entries that all waiting removals cost, with the message overhead.
+func (b *Balancer) removalCost(round *publishRound) float64 {
 	cost := 0.0
 	for i := range b.proxies {
 		proxy := &b.proxies[i]
 		if !proxy.connected || !proxy.assigned {
 			continue
 		}
-		removals := sharedRemovals
+		removals := round.tables[b.sharedTable(proxy.zone)].removals
 		if proxy.ownsTable {
-			removals = b.countRemovals(proxy.subset)
+			removals = b.countSubsetRemovals(proxy)
 		}
 		if removals > 0 {
 			cost += float64(removals) + round.batch.messageOverhead
@@ -65,18 +73,22 @@
 	return cost
 }
 
-// countRemovals counts the hosts that are draining or removed and still published.
-func (b *Balancer) countRemovals(hosts []int) int {
+// countSubsetRemovals counts the waiting removals from a proxy's own table.
+func (b *Balancer) countSubsetRemovals(proxy *proxyRecord) int {
 	count := 0
-	for _, index := range hosts {
-		host := &b.hosts[index]
-		if host.endpoint.state != Ready && host.publication.weight > 0 {
+	for _, index := range proxy.subset {
+		if b.hosts[index].isRemovalPending() {
 			count++
 		}
 	}
 	return count
 }
 
+// isRemovalPending reports whether a host is draining or removed and still published.
+func (h *hostRecord) isRemovalPending() bool {
+	return h.endpoint.state != Ready && h.publication.weight > 0
+}
+
 // sharedTableProxies returns the connected proxies that route by a shared table, by ascending traffic.
 func (b *Balancer) sharedTableProxies() []int {
 	var proxies []int
--- a/routing/slowchannel_test.go
+++ b/routing/slowchannel_test.go
@@ -224,6 +224,19 @@
 	}
 }
 
+// checkZones checks that no proxy routes to a host of another zone, where a class must stay in its zone.
+func (c *slowChannel) checkZones(t *testing.T) {
+	t.Helper()
+	for proxy, hosts := range c.routes {
+		for host := range hosts {
+			if c.zoneLocal && c.hosts[host].endpoint.zone != c.proxies[proxy].zone {
+				t.Fatalf("proxy %d of zone %d routes to host %d of zone %d", proxy, c.proxies[proxy].zone, host,
+					c.hosts[host].endpoint.zone)
+			}
+		}
+	}
+}
+
 // replaceHosts starts a replacement for each of the hosts, whose index is higher by offset, and half of durationMs later
 // the hosts begin to drain. It returns the instant at which it stopped, after durationMs.
 func (c *slowChannel) replaceHosts(nowMs, durationMs float64, replaced []int, offset int) float64 {
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -48,8 +48,8 @@
 	return added
 }
 
-// subsetCandidates returns the published weight of a proxy's subset, and the warm hosts that may be added: hosts of
-// the proxy's own zone below their fair share of subset traffic first, then by the least subset traffic for their
+// subsetCandidates returns the published weight of a proxy's subset, and the warm hosts of its shared table that may be
+// added: hosts of the proxy's own zone below their fair share of subset traffic first, then by the least subset traffic for their
 // weight.
 func (b *Balancer) subsetCandidates(proxy *proxyRecord, ratePerWeight float64) (weight float64, candidates []int) {
 	for _, index := range b.hostOrder {
@@ -58,7 +58,8 @@
 			weight += host.publication.weight
 			continue
 		}
-		if host.publication.weight > 0 && b.targetWeight(host, false) > 0 && b.slowStartFactor(host) >= 1 {
+		sameTable := b.sharedTable(host.endpoint.zone) == b.sharedTable(proxy.zone)
+		if sameTable && host.publication.weight > 0 && b.targetWeight(host, false) > 0 && b.slowStartFactor(host) >= 1 {
 			candidates = append(candidates, index)
 		}
 	}
