--- a/routing/subset.go
+++ b/routing/subset.go
@@ -49,8 +49,8 @@
 }
 
 // subsetCandidates returns the published weight of a proxy's subset, and the warm hosts of its shared table that may be
-// added: hosts of the proxy's own zone below their fair share of subset traffic first, then by the least subset traffic for their
-// weight.
+// added: hosts of the proxy's own zone below their fair share of subset traffic first, then by the least subset traffic
+// for their weight.
 func (b *Balancer) subsetCandidates(proxy *proxyRecord, ratePerWeight float64) (weight float64, candidates []int) {
 	for _, index := range b.hostOrder {
 		host := &b.hosts[index]
