--- a/routing/slowchannel_test.go
+++ b/routing/slowchannel_test.go
@@ -237,7 +237,7 @@
 	}
 }
 
-// replaceHosts starts a replacement for each of the hosts, whose index is higher by offset, and half of durationMs later
+// replaceHosts starts a replacement for each of the hosts, whose index is higher by offset. Half of durationMs later
 // the hosts begin to drain. It returns the instant at which it stopped, after durationMs.
 func (c *slowChannel) replaceHosts(nowMs, durationMs float64, replaced []int, offset int) float64 {
 	c.ObserveDelta()
