Route classes that may leave a lost zone by the table of another zone

What callers saw: one class must stay in its zone, another may leave it, and the zone is lost for 12 s.

Cause: where any class must stay in its zone, all classes were routed by the zone's own table. Evidence: the messages to a proxy of the lost zone name hosts of that zone only, while the channel holds under 80 of 7,100 lines.

Change: while a zone's table holds no warm host, its proxies get the table of another zone for the classes that may leave the zone. The node's encoder ignored the classes of an assignment; it now keeps a second table for a proxy and names the classes that an update is for. Where all classes go by the same rule nothing changes: no golden file does.

TestFallbackTableUpdates is of the new updates.

--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -39,6 +39,9 @@
 	fieldUpdateStamp    = "stamp" // in an update
 )
 
+// classSeparator separates the names of request classes in a field.
+const classSeparator = "+"
+
 // Values of boolean fields.
 const (
 	valueNo  = "0"
--- a/internal/platform/update_encoder.go
+++ b/internal/platform/update_encoder.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	noTable = -1 // in updateContent: no weight entries
-	noStamp = 0  // in roundChanges: no acknowledgement is requested
+	noTable    = -1 // in tableContent and proxyTables: none
+	noStamp    = 0  // in roundChanges: no acknowledgement is requested
+	allClasses = 0  // the bit set of request classes that stands for all of them
 
 	// unsetRatio is the admission ratio of a class for which none was ever set.
 	unsetRatio = -1
@@ -35,19 +36,37 @@
 	subscribers map[int]bool    // proxies that the table is assigned to
 }
 
+// proxyTables are the tables that were sent on a proxy's session.
+type proxyTables struct {
+	main            int // number of the table for all classes but fallbackClasses
+	fallback        int // number of the table for fallbackClasses; noTable: none
+	fallbackClasses int // bit set
+}
+
+// tableContent is the part of an update for one table.
+type tableContent struct {
+	table    int  // number of the table; noTable: none
+	classes  int  // bit set of the request classes that it is for
+	snapshot bool // it has all entries of the table, not only those written this round
+}
+
 // updateContent describes the content of an update. Proxies with the same content in a round share one message.
 type updateContent struct {
-	table    int  // number of the table whose weight entries it has; noTable: none
-	snapshot bool // it has all entries of the table, not only those written this round
+	main     tableContent
+	fallback tableContent
 	policies bool // it has the admission policies
 }
 
+// emptyContent is an update without weight entries and policies.
+var emptyContent = updateContent{main: tableContent{table: noTable}, fallback: tableContent{table: noTable}}
+
 // roundChanges holds what the balancer has written since the last flush.
 type roundChanges struct {
-	tables   []int // tables with weights written, in the order of their first change
-	assigned []int // proxies to which a table was assigned
-	policies bool  // an admission policy was set
-	stamp    int   // version stamp; noStamp: none
+	tables    []int // tables with weights written, in the order of their first change
+	assigned  []int // proxies to which a table was assigned for all classes
+	fallbacks []int // proxies to which a table was assigned for some classes
+	policies  bool  // an admission policy was set
+	stamp     int   // version stamp; noStamp: none
 }
 
 // updateEncoder collects what the balancer writes in a round and encodes it as one update for each affected proxy. It
@@ -59,7 +78,7 @@
 	connected    func() iter.Seq[int] // the proxies with a session
 	tables       map[int]*routeTable  // by number
 	policies     []admissionPolicy    // by request class; they apply to all tables
-	assigned     map[int]int          // by proxy: the table sent as a snapshot on its session
+	assigned     map[int]proxyTables  // by proxy: the tables sent as a snapshot on its session
 	policiesSent map[int]bool         // proxies to which the policies were sent on their session
 	round        roundChanges
 }
@@ -70,7 +89,7 @@
 		classNames:   classNames,
 		connected:    connected,
 		tables:       map[int]*routeTable{},
-		assigned:     map[int]int{},
+		assigned:     map[int]proxyTables{},
 		policiesSent: map[int]bool{},
 	}
 	for range classNames {
@@ -91,13 +110,23 @@
 
 // forgetProxy drops the record of what was sent on a proxy's session, which has ended.
 func (e *updateEncoder) forgetProxy(proxy int) {
-	if number, ok := e.assigned[proxy]; ok {
-		delete(e.tables[number].subscribers, proxy)
-	}
+	e.unsubscribe(proxy)
 	delete(e.assigned, proxy)
 	delete(e.policiesSent, proxy)
 }
 
+// unsubscribe removes a proxy from the subscribers of its tables.
+func (e *updateEncoder) unsubscribe(proxy int) {
+	tables, ok := e.assigned[proxy]
+	if !ok {
+		return
+	}
+	delete(e.tables[tables.main].subscribers, proxy)
+	if tables.fallback != noTable {
+		delete(e.tables[tables.fallback].subscribers, proxy)
+	}
+}
+
 // SetWeight sets the weight of a host in a table; 0 removes the host from it.
 func (e *updateEncoder) SetWeight(number, host int, weight float64) {
 	table := e.table(number)
@@ -112,15 +141,22 @@
 	table.changed = append(table.changed, host)
 }
 
-// AssignTable assigns a table to a proxy, which then gets a snapshot of it. The request class is ignored, since a table
-// of the platform applies to all classes.
-func (e *updateEncoder) AssignTable(proxy, number, _ int) {
-	if previous, ok := e.assigned[proxy]; ok {
-		delete(e.tables[previous].subscribers, proxy)
+// AssignTable assigns a table to a proxy, which then gets a snapshot of it: for all request classes, or for those in a
+// bit set until the next table is assigned. A proxy that has no table for all classes yet gets it for all.
+func (e *updateEncoder) AssignTable(proxy, number, classes int) {
+	e.unsubscribe(proxy)
+	tables, known := e.assigned[proxy]
+	if classes == allClasses || !known {
+		tables = proxyTables{main: number, fallback: noTable}
+		e.round.assigned = append(e.round.assigned, proxy)
+	} else {
+		tables.fallback = number
+		tables.fallbackClasses = classes
+		e.table(tables.fallback).subscribers[proxy] = true
+		e.round.fallbacks = append(e.round.fallbacks, proxy)
 	}
-	e.assigned[proxy] = number
-	e.table(number).subscribers[proxy] = true
-	e.round.assigned = append(e.round.assigned, proxy)
+	e.table(tables.main).subscribers[proxy] = true
+	e.assigned[proxy] = tables
 }
 
 // SetAdmission sets the admission ratio and retry policy of the request classes in a bit set, or of all classes if the
@@ -166,27 +202,69 @@
 	contents := map[int]updateContent{}
 	if e.round.policies {
 		for proxy := range e.connected() {
-			contents[proxy] = updateContent{table: noTable, policies: true}
+			content := emptyContent
+			content.policies = true
+			contents[proxy] = content
 		}
 	}
 	for _, number := range e.round.tables {
 		for proxy := range e.tables[number].subscribers {
-			contents[proxy] = updateContent{table: number, policies: contents[proxy].policies}
+			content, ok := contents[proxy]
+			if !ok {
+				content = emptyContent
+			}
+			e.addTable(&content, proxy, number)
+			contents[proxy] = content
 		}
 	}
 	for _, proxy := range e.round.assigned {
-		contents[proxy] = updateContent{table: e.assigned[proxy], snapshot: true, policies: true}
+		content := emptyContent
+		e.addTable(&content, proxy, e.assigned[proxy].main)
+		content.main.snapshot = true
+		content.policies = true
+		contents[proxy] = content
+	}
+	for _, proxy := range e.round.fallbacks {
+		content, ok := contents[proxy]
+		if !ok {
+			content = emptyContent
+		}
+		if fallback := e.assigned[proxy].fallback; fallback != noTable {
+			e.addTable(&content, proxy, fallback)
+			content.fallback.snapshot = true
+			content.policies = true
+		}
+		contents[proxy] = content
 	}
 	return contents
 }
 
+// addTable adds a table of a proxy to the content of its update.
+func (e *updateEncoder) addTable(content *updateContent, proxy, number int) {
+	tables := e.assigned[proxy]
+	if number == tables.main {
+		content.main = tableContent{table: number, classes: allClasses}
+		if tables.fallback != noTable {
+			content.main.classes = (1<<len(e.classNames) - 1) &^ tables.fallbackClasses
+		}
+	}
+	if number == tables.fallback {
+		content.fallback = tableContent{table: number, classes: tables.fallbackClasses}
+	}
+}
+
 // startRound clears the changes of the last round and reuses their memory.
 func (e *updateEncoder) startRound() {
 	for _, number := range e.round.tables {
 		table := e.tables[number]
 		table.changed = table.changed[:0]
 	}
-	e.round = roundChanges{tables: e.round.tables[:0], assigned: e.round.assigned[:0], stamp: noStamp}
+	e.round = roundChanges{
+		tables:    e.round.tables[:0],
+		assigned:  e.round.assigned[:0],
+		fallbacks: e.round.fallbacks[:0],
+		stamp:     noStamp,
+	}
 }
 
 // encode encodes an update, in one part or, if classes have different policies, in several. It returns nil if the
@@ -211,20 +289,23 @@
 	return message
 }
 
-// updateParts returns the fields of each part of an update: the weight entries together with the policy if all request
-// classes have the same one, else first the weight entries and then one part for each policy.
+// updateParts returns the fields of each part of an update: the weight entries together with the policy if both are for
+// all request classes, else first the weight entries of each table and then one part for each policy.
 func (e *updateEncoder) updateParts(content updateContent) [][]string {
-	tableFields := e.tableFields(content)
+	tableFields := e.tableFields(content.main)
 	var policies []policyGroup
 	if content.policies {
 		policies = e.policyGroups()
 	}
-	if len(policies) == 1 && e.coversAllClasses(policies[0]) {
+	oneTable := content.main.classes == allClasses && content.fallback.table == noTable
+	if oneTable && len(policies) == 1 && e.coversAllClasses(policies[0]) {
 		return [][]string{append(tableFields, e.policyFields(policies[0])...)}
 	}
 	var parts [][]string
-	if len(tableFields) > 0 {
-		parts = append(parts, tableFields)
+	for _, fields := range [][]string{tableFields, e.tableFields(content.fallback)} {
+		if len(fields) > 0 {
+			parts = append(parts, fields)
+		}
 	}
 	for _, group := range policies {
 		parts = append(parts, e.policyFields(group))
@@ -232,24 +313,38 @@
 	return parts
 }
 
-// tableFields returns the fields for the weight entries.
-func (e *updateEncoder) tableFields(content updateContent) []string {
+// tableFields returns the fields for the weight entries of a table, none if it has no content.
+func (e *updateEncoder) tableFields(content tableContent) []string {
+	if content.table == noTable {
+		return nil
+	}
 	var fields []string
 	if content.snapshot {
 		fields = append(fields, fieldSnapshot, valueYes)
 	}
-	if content.table == noTable {
-		return fields
-	}
 	if entries := e.weightEntries(content); entries != "" {
 		fields = append(fields, fieldEntries, entries)
 	}
+	if len(fields) > 0 && content.classes != allClasses {
+		fields = append([]string{fieldClasses, e.classList(content.classes)}, fields...)
+	}
 	return fields
 }
 
+// classList returns the names of the request classes in a bit set.
+func (e *updateEncoder) classList(classes int) string {
+	var names []string
+	for class, name := range e.classNames {
+		if classes>>class&1 == 1 {
+			names = append(names, name)
+		}
+	}
+	return strings.Join(names, classSeparator)
+}
+
 // weightEntries formats the weight entries of the whole table, or only those written this round, as host:weight pairs
 // separated by commas.
-func (e *updateEncoder) weightEntries(content updateContent) string {
+func (e *updateEncoder) weightEntries(content tableContent) string {
 	table := e.tables[content.table]
 	hosts := slices.Values(table.changed)
 	if content.snapshot {
@@ -300,7 +395,7 @@
 func (e *updateEncoder) policyFields(group policyGroup) []string {
 	var fields []string
 	if !e.coversAllClasses(group) {
-		fields = append(fields, fieldClasses, strings.Join(group.classes, "+"))
+		fields = append(fields, fieldClasses, strings.Join(group.classes, classSeparator))
 	}
 	return append(fields, fieldAdmissionRatio, formatFloat(group.ratio),
 		fieldRetryPolicy, strconv.Itoa(group.retryPolicy))
--- a/internal/platform/update_encoder_test.go
+++ b/internal/platform/update_encoder_test.go
@@ -24,7 +24,7 @@
 			fmt.Fprintf(&trace, "    proxy %d, stamp %d: %s\n", proxy, stamp, words)
 		})
 	}
-	const allClasses, readOnly, signOnly = 0, 1, 2 // bit sets of request classes
+	const readOnly, signOnly = 1, 2 // bit sets of request classes
 	encoder.SetWeight(0, 1, 1)
 	encoder.SetWeight(0, 2, 0.123456789)
 	encoder.AssignTable(1, 0, allClasses)
@@ -53,3 +53,51 @@
 	flush("table 9 is assigned to proxy 2, and a weight of table 0 changes")
 	golden.CompareForTest(t, trace.String())
 }
+
+// A proxy routes one request class by a fallback table for a while: each update names the classes that it is for, so that
+// neither table changes the routes of the other's classes.
+func TestFallbackTableUpdates(t *testing.T) {
+	connected := []int{1, 2}
+	encoder := newUpdateEncoder([]string{"read", "sign"}, func(host int) string { return fmt.Sprintf("s-%d", host) },
+		func() iter.Seq[int] { return slices.Values(connected) })
+	var trace strings.Builder
+	flush := func(title string) {
+		fmt.Fprintf(&trace, "%s\n", title)
+		encoder.flush(func(proxy int, message []byte, stamp int) {
+			words := strings.ReplaceAll(string(message), "\r\n", " ")
+			fmt.Fprintf(&trace, "    proxy %d, stamp %d: %s\n", proxy, stamp, words)
+		})
+	}
+	const readOnly = 1 // bit set of request classes
+	encoder.SetAdmission(0, allClasses, 1, 1)
+	encoder.SetWeight(1, 1, 1)
+	encoder.SetWeight(2, 2, 1)
+	encoder.AssignTable(1, 1, allClasses)
+	encoder.AssignTable(2, 2, allClasses)
+	encoder.StampVersion(1)
+	flush("each proxy has the table of its zone")
+	encoder.SetWeight(1, 1, 0)
+	encoder.AssignTable(1, 2, readOnly)
+	encoder.StampVersion(2)
+	flush("table 1 is empty, table 2 is the fallback of proxy 1 for read")
+	encoder.SetWeight(1, 3, 0.5)
+	encoder.SetWeight(2, 2, 0.7)
+	encoder.StampVersion(3)
+	flush("a weight of each table changes")
+	encoder.SetAdmission(0, allClasses, 0.9, 1)
+	flush("the admission policy changes")
+	encoder.AssignTable(1, 1, allClasses)
+	encoder.StampVersion(4)
+	flush("proxy 1 has table 1 for all classes again")
+	encoder.SetWeight(2, 2, 0.8)
+	flush("a weight of table 2 changes")
+	encoder.AssignTable(1, 2, readOnly)
+	encoder.AssignTable(1, 1, allClasses)
+	encoder.AssignTable(1, 2, readOnly)
+	flush("proxy 1 gets both tables in one round")
+	encoder.forgetProxy(1)
+	encoder.SetWeight(1, 3, 0.6)
+	encoder.SetWeight(2, 2, 0.9)
+	flush("the session of proxy 1 has ended")
+	golden.CompareForTest(t, trace.String())
+}
--- a/routing/assignment.go
+++ b/routing/assignment.go
@@ -61,6 +61,9 @@
 		if !proxy.ownsTable {
 			tables[b.sharedTable(proxy.zone)].proxies++
 		}
+		if proxy.fallbackTable != noFallbackTable {
+			tables[proxy.fallbackTable].proxies++
+		}
 	}
 	weight := minDivisor
 	for _, index := range b.hostOrder {
@@ -172,6 +175,7 @@
 	round.writer.AssignTable(index, b.sharedTable(proxy.zone), 0)
 	proxy.assigned = true
 	proxy.ownsTable = false
+	proxy.fallbackTable = noFallbackTable
 }
 
 // assignSubset makes a proxy route by its own table, which holds a subset of the hosts, or refills that table. It does
@@ -194,6 +198,7 @@
 	if !proxy.ownsTable {
 		batch.addEntries(index, 1)
 		round.writer.AssignTable(index, b.subsetTable(index), 0)
+		proxy.fallbackTable = noFallbackTable
 	}
 	proxy.assigned = true
 	proxy.ownsTable = true
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -33,6 +33,7 @@
 	connectedProxies int
 	zoneReconnected  []bool // by zone: a proxy of it has connected since the last round
 	zoneLocal        bool   // some request class must stay in its zone
+	crossZoneClasses int    // bit set of the others, 0 where there are none
 
 	discovery  discoveryState
 	reports    reportTiming
@@ -64,6 +65,7 @@
 		slowStart:       make([]slowStartState, deployment.Zones+1),
 		admission:       newAdmissionState(len(classes), deployment.DefaultRetryPolicy),
 	}
+	b.crossZoneClasses = crossZoneClasses(classes)
 	b.reports.lastAtMs = noReportYet
 	b.reports.cycleMs = deployment.ReportIntervalMs
 	b.reports.settlingMs = channel.PropagationDelayMs + settlingCycles*deployment.ReportIntervalMs
--- a/routing/proxy.go
+++ b/routing/proxy.go
@@ -17,6 +17,8 @@
 	subset       []int   // the hosts in its own table; it may be outdated while ownsTable is false
 	subsetWeight float64 // their published weight
 
+	fallbackTable int // table of another zone for the classes that may leave the proxy's, or noFallbackTable
+
 	messageTimesMs []float64       // send times of its messages within the message window, oldest first
 	unacknowledged []updateMessage // messages that it has not acknowledged, oldest first
 }
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -71,6 +71,7 @@
 		b.publishAdmission(round)
 	}
 	b.assignTables(round)
+	b.assignFallbackTables(round)
 	if weightsAllowed {
 		b.publishWeights(round)
 	}
--- a/routing/publishweights.go
+++ b/routing/publishweights.go
@@ -55,11 +55,15 @@
 	}
 	for i := range b.proxies {
 		proxy := &b.proxies[i]
-		switch {
-		case !proxy.connected || !proxy.assigned: // it has no table
-		case proxy.ownsTable:
+		if !proxy.connected || !proxy.assigned { // it has no table
+			continue
+		}
+		if proxy.ownsTable {
 			b.publishSubsetWeight(round, i, index, subsetWeight)
-		case b.sharedTable(proxy.zone) == table:
+		} else if b.sharedTable(proxy.zone) == table {
+			round.batch.addEntries(i, 1)
+		}
+		if proxy.fallbackTable == table && table != noFallbackTable {
 			round.batch.addEntries(i, 1)
 		}
 	}
