--- a/routing/fallbacktable.go
+++ b/routing/fallbacktable.go
@@ -62,8 +62,8 @@
 	return candidates[index%len(candidates)]
 }
 
-// assignFallbackTable gives a proxy another fallback table, or none: then its own table for all classes. It does nothing
-// where the channel has no capacity left.
+// assignFallbackTable gives a proxy another fallback table, or none: then its own table for all classes. It does
+// nothing where the channel has no capacity left.
 func (b *Balancer) assignFallbackTable(round *publishRound, index, fallback int) {
 	proxy := &b.proxies[index]
 	table, classes := fallback, b.crossZoneClasses
