Give subsets for removals only to proxies whose table has many of them

Where a class must stay in its zone, a release in one zone also gave a subset to a proxy of another zone, whose table has no removal; since that saves nothing, no further proxy was looked at, and the proxies of the zone kept the table that could not be cleared in time.

Proxies whose shared table has no more removals than a subset has entries are left out. TestLargeRemovalInOneZone failed before (proxy 1 of zone 1 has a table of its own) and passes with this.

--- a/routing/controlchannel_test.go
+++ b/routing/controlchannel_test.go
@@ -168,6 +168,36 @@
 	}
 }
 
+// Many hosts of one zone drain where a class must stay in its zone: the proxies of the other zone, whose table has no
+// removal, keep it, and some of the zone get subsets.
+func TestLargeRemovalInOneZone(t *testing.T) {
+	set := defaultSettings()
+	set.classes[0].ZoneLocal = true
+	set.deployment.HealthChecks = false
+	set.deployment.Proxies = 200
+	set.channel.EntriesPerSecond = 1900
+	set.channel.MaxBacklog = 6300
+	c := newSlowChannel(set, 1, 200)
+	nowMs := c.run(1000, 60000)
+	var draining []int
+	c.ObserveDelta()
+	for host := 0; host < 120; host += 2 { // of zone 0
+		c.ObserveEndpoint(host, 0, Draining, 1, 0)
+		draining = append(draining, host)
+	}
+	drainedAtMs := nowMs
+	c.run(nowMs, 3000)
+	subsets := [2]int{} // by zone
+	for i := range c.proxies {
+		subsets[c.proxies[i].zone] += int(indicator(c.proxies[i].ownsTable))
+	}
+	if subsets[0] == 0 || subsets[1] > 0 {
+		t.Errorf("%d proxies of zone 0 and %d of zone 1 have subsets, want some and none", subsets[0], subsets[1])
+	}
+	c.run(nowMs+3000, 5000)
+	c.checkRemoved(t, draining, drainedAtMs)
+}
+
 // Hosts are replaced one after the other for most of the message window. The messages that the window allows must last
 // for all of them: a removal that waits for the oldest message to leave the window outlasts the drain grace.
 func TestDrainGraceWithMessageLimit(t *testing.T) {
--- a/routing/removalsubset.go
+++ b/routing/removalsubset.go
@@ -21,12 +21,15 @@
 	}
 	assigned := false
 	for _, index := range b.sharedTableProxies() {
+		removals := round.tables[b.sharedTable(b.proxies[index].zone)].removals
+		if removals <= minSubsetSize { // a subset would cost as much
+			continue
+		}
 		before := round.batch.backlog
 		if !b.maySendMessage(&b.proxies[index]) || !b.assignSubset(round, index, removalFill) {
 			continue
 		}
 		assigned = true
-		removals := round.tables[b.sharedTable(b.proxies[index].zone)].removals
 		saved := float64(removals) + round.batch.messageOverhead - (round.batch.backlog - before)
 		excess -= saved
 		if excess <= 0 || saved <= 0 {
