--- a/routing/controlchannel_test.go
+++ b/routing/controlchannel_test.go
@@ -186,7 +186,7 @@
 		draining = append(draining, host)
 	}
 	drainedAtMs := nowMs
-	c.run(nowMs, 3000)
+	nowMs = c.run(nowMs, channelStepMs)
 	subsets := [2]int{} // by zone
 	for i := range c.proxies {
 		subsets[c.proxies[i].zone] += int(indicator(c.proxies[i].ownsTable))
@@ -194,7 +194,7 @@
 	if subsets[0] == 0 || subsets[1] > 0 {
 		t.Errorf("%d proxies of zone 0 and %d of zone 1 have subsets, want some and none", subsets[0], subsets[1])
 	}
-	c.run(nowMs+3000, 5000)
+	c.run(nowMs, 8000)
 	c.checkRemoved(t, draining, drainedAtMs)
 }
 
