--- a/review/_bed/bed.go
+++ b/review/_bed/bed.go
@@ -33,6 +33,7 @@
 	random     *rand.Rand
 	hosts      map[string]*host
 	order      []*host
+	hostCount  int
 	generation int64
 	changes    []change
 	changed    chan struct{} // closed when the list changes
--- a/review/_bed/hosts.go
+++ b/review/_bed/hosts.go
@@ -52,8 +52,16 @@
 // addHost adds a host. A cold one starts now.
 func (b *bed) addHost(zone string, capacity float64, cold bool) *host {
 	b.mu.Lock()
-	number := len(b.order) + 1
+	b.hostCount++
+	number := b.hostCount
 	h := &host{bed: b, id: fmt.Sprintf("s-%08x", b.random.Uint32()), zone: zone, capacity: capacity, listed: "Ready"}
+	b.mu.Unlock()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", b.net, number/250, 1+number%250))
+	if err != nil {
+		fail("a host could not listen: %v", err)
+	}
+	h.address = listener.Addr().String()
+	b.mu.Lock()
 	if cold {
 		h.bornAt = time.Now()
 		h.startedMs = math.Floor(float64(h.bornAt.UnixMicro()) / 1000)
@@ -62,11 +70,6 @@
 	b.order = append(b.order, h)
 	b.touch(h)
 	b.mu.Unlock()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", b.net, number/250, 1+number%250))
-	if err != nil {
-		fail("a host could not listen: %v", err)
-	}
-	h.address = listener.Addr().String()
 	h.serve(listener)
 	b.onClose(h.shut)
 	return h
--- a/review/_bed/main.go
+++ b/review/_bed/main.go
@@ -11,7 +11,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
+	"syscall"
 	"time"
 )
 
@@ -67,9 +69,14 @@
 		}
 	}()
 	done := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		select {
 		case <-done:
+		case <-signals:
+			b.close()
+			os.Exit(2)
 		case <-time.After(115 * time.Second):
 			b.logf("the case took too long")
 			b.close()
