Review case 7: a cold ejected host floods a proxy's messages and delays drains

Cause: an ejected host that warms up in a table without a warm host is written in each round, without gathering.

--- a/review/_bed/proxies.go
+++ b/review/_bed/proxies.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"sort"
 	"strconv"
 	"strings"
@@ -303,6 +304,9 @@
 	b := p.bed
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if p.stream != stream {
+		return nil, nil // the stream has fallen silent
+	}
 	lines := b.set.Head
 	for _, part := range parts {
 		count, err := b.countLines(part)
@@ -313,6 +317,9 @@
 		lines += count
 	}
 	now := time.Now()
+	if p.number == 0 && os.Getenv("VERBOSE") != "" {
+		b.logf("proxy 0 is written %q", parts)
+	}
 	p.countMessage(now)
 	leaves := s.enter(now, lines)
 	p.messages++
@@ -632,8 +639,9 @@
 		}
 		limit := seconds(b.set.BareUs/1e6/s.channel.pace) + slack
 		if bare := now.Sub(p.bareSince[class]); bare > limit {
-			b.breach("lost", "proxy %d of zone %s has had no host for class %s for %.1f s, while steward %d has warm ones listed as ready",
-				p.number, p.zone, b.set.Classes[class].Name, bare.Seconds(), s.index)
+			b.breach("lost", "proxy %d of zone %s has had no host for class %s for %.1f s, while steward %d has %s listed as ready and warm (%d messages to the proxy in the window)",
+				p.number, p.zone, b.set.Classes[class].Name, bare.Seconds(), s.index,
+				s.warmHost(p.zone, b.set.Classes[class].StaysLocal, now), len(p.sent))
 			p.bareSince[class] = now.Add(time.Hour) // once for each time
 		}
 	}
@@ -651,16 +659,21 @@
 // showsWarm reports whether the steward's list shows a warm host as ready that is open to a class. The caller holds the
 // mutex.
 func (s *steward) showsWarm(zone string, local bool, now time.Time) bool {
+	return s.warmHost(zone, local, now) != ""
+}
+
+// warmHost returns such a host, or an empty string. The caller holds the mutex.
+func (s *steward) warmHost(zone string, local bool, now time.Time) string {
 	for id, told := range s.told {
 		if told.lifecycle != "Ready" || local && s.bed.hosts[id].zone != zone {
 			continue
 		}
 		age := float64(now.UnixMicro())/1000 - told.startedMs
 		if told.startedMs == 0 || age >= s.bed.set.ColdUs/1000 {
-			return true
+			return id
 		}
 	}
-	return false
+	return ""
 }
 
 // reporting sends what came to the proxy.
@@ -781,7 +794,7 @@
 func (b *bed) summary(title string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	type sums struct{ joined, messages, refused, gone, bare int }
+	type sums struct{ joined, messages, refused, gone, bare, window int }
 	byZone := map[string]*sums{}
 	for _, p := range b.proxies {
 		z := byZone[p.zone]
@@ -790,6 +803,7 @@
 			byZone[p.zone] = z
 		}
 		z.messages += p.messages
+		z.window = max(z.window, len(p.sent))
 		z.refused += p.refused
 		if p.home == nil {
 			continue
@@ -813,8 +827,9 @@
 	for _, zone := range b.set.Zones {
 		if z := byZone[zone]; z != nil {
 			b.logf("%s: zone %s: %d proxies joined, %d messages so far, %d streams ended by the steward, "+
-				"%d proxies hold a line of a draining or gone host, %d lack a line for a class",
-				title, zone, z.joined, z.messages, z.refused, z.gone, z.bare)
+				"%d proxies hold a line of a draining or gone host, %d lack a line for a class, "+
+				"%d messages to one proxy in the last ten seconds",
+				title, zone, z.joined, z.messages, z.refused, z.gone, z.bare, z.window)
 		}
 	}
 	for _, s := range b.stewards {
