--- a/review/_bed/daemon.go
+++ b/review/_bed/daemon.go
@@ -33,18 +33,25 @@
 // daemonBed is what a case with the daemon plays on.
 type daemonBed struct {
 	*bed
-	servers []*workServer
+	servers  []*workServer
+	stewards []*daemon // the leader first, then its standby, if there is one
+
+	dmu    sync.Mutex
+	joined map[string]time.Time // when a proxy last joined, by name
+}
+
+// daemon is one process of the daemon.
+type daemon struct {
+	bed     *daemonBed
 	address string
 	config  string
-
-	dmu     sync.Mutex
-	process *exec.Cmd
-	exited  chan struct{}
-	joined  map[string]time.Time // when a proxy last joined, by name
+	log     string
+	process *exec.Cmd     // guarded by the bed's dmu
+	exited  chan struct{} // likewise
 }
 
 func newDaemonBed(b *bed, perZone int) *daemonBed {
-	d := &daemonBed{bed: b, address: freeAddress(), joined: map[string]time.Time{}}
+	d := &daemonBed{bed: b, joined: map[string]time.Time{}}
 	var list strings.Builder
 	for i, zone := range []string{"hill", "lake"} {
 		for k := range perZone {
@@ -60,9 +67,17 @@
 			fmt.Fprintf(&list, "hosts { address: %q zone: %q }\n", s.address, zone)
 		}
 	}
-	d.config = filepath.Join(b.folder, "steward.textproto")
 	d.write("hosts.textproto", list.String())
-	d.write("steward.textproto", fmt.Sprintf(`listen: %q
+	d.addDaemon("")
+	return d
+}
+
+// addDaemon adds a steward with a state folder of its own; more is the rest of its configuration.
+func (d *daemonBed) addDaemon(more string) *daemon {
+	name := fmt.Sprintf("steward-%d", len(d.stewards))
+	s := &daemon{bed: d, address: freeAddress(), config: filepath.Join(d.folder, name+".textproto"),
+		log: filepath.Join(d.folder, name+".log")}
+	d.write(name+".textproto", fmt.Sprintf(`listen: %q
 zones: ["hill", "lake"]
 classes { name: "sheet" due_ms: 1000 patience_ms: 2500 earnings: 3 }
 classes { name: "finish" due_ms: 500 patience_ms: 1200 earnings: 9 }
@@ -70,11 +85,13 @@
 guard { grace_ms: %d }
 list { file: "hosts.textproto" }
 probes { on: false }
-state { folder: "state" }
+state { folder: "state-%s" }
 identity { plain_loopback: true }
-`, d.address, graceMs))
-	b.onClose(func() { d.end(syscall.SIGKILL) })
-	return d
+%s
+`, s.address, graceMs, name, more))
+	d.stewards = append(d.stewards, s)
+	d.onClose(func() { s.end(syscall.SIGKILL) })
+	return s
 }
 
 func (d *daemonBed) write(name, text string) {
@@ -104,8 +121,9 @@
 }
 
 // launch starts the daemon and waits until it answers.
-func (d *daemonBed) launch() {
-	logFile, err := os.OpenFile(filepath.Join(d.folder, "steward.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+func (s *daemon) launch() {
+	d := s.bed
+	logFile, err := os.OpenFile(s.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		fail("the log: %v", err)
 	}
@@ -113,7 +131,7 @@
 	if err != nil {
 		fail("%v", err)
 	}
-	cmd := exec.Command(filepath.Join(root, "bin/barleysail"), "run", "--config", d.config)
+	cmd := exec.Command(filepath.Join(root, "bin/barleysail"), "run", "--config", s.config)
 	cmd.Dir = d.folder
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	if err := cmd.Start(); err != nil {
@@ -121,7 +139,7 @@
 	}
 	exited := make(chan struct{})
 	d.dmu.Lock()
-	d.process, d.exited = cmd, exited
+	s.process, s.exited = cmd, exited
 	d.dmu.Unlock()
 	go func() {
 		_ = cmd.Wait()
@@ -129,7 +147,7 @@
 		close(exited)
 	}()
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		response, err := http.Get("http://" + d.address + "/v1/status")
+		response, err := http.Get("http://" + s.address + "/v1/status")
 		if err == nil {
 			_ = response.Body.Close()
 			break
@@ -138,15 +156,15 @@
 			fail("the steward is not ready: %v", err)
 		}
 	}
-	d.logf("the steward is ready")
+	d.logf("the steward at %s is ready", s.address)
 }
 
 // end sends the daemon a signal and waits for its end.
-func (d *daemonBed) end(signal syscall.Signal) {
-	d.dmu.Lock()
-	process, exited := d.process, d.exited
-	d.process = nil
-	d.dmu.Unlock()
+func (s *daemon) end(signal syscall.Signal) {
+	s.bed.dmu.Lock()
+	process, exited := s.process, s.exited
+	s.process = nil
+	s.bed.dmu.Unlock()
 	if process == nil {
 		return
 	}
@@ -161,7 +179,7 @@
 
 // order has an operator post a command.
 func (d *daemonBed) order(path, body string) {
-	response, err := http.Post("http://"+d.address+path, "application/json", strings.NewReader(body))
+	response, err := http.Post("http://"+d.stewards[0].address+path, "application/json", strings.NewReader(body))
 	if err != nil {
 		fail("the operator's command: %v", err)
 	}
@@ -180,10 +198,12 @@
 	go func() {
 		tag := ""
 		connected := false
-		for !d.ended() {
-			hosts, newTag, err := d.poll(name, zone, tag)
+		for current := 0; !d.ended(); {
+			hosts, newTag, err := d.poll(d.stewards[current].address, name, zone, tag)
 			if err != nil {
 				connected = false
+				tag = ""
+				current = (current + 1) % len(d.stewards)
 				time.Sleep(200 * time.Millisecond)
 				continue
 			}
@@ -194,7 +214,7 @@
 			d.dmu.Unlock()
 			connected = true
 			if newTag != tag {
-				d.logf("proxy %s goes by table %s: %s", name, newTag, strings.Join(hosts, " "))
+				d.logf("proxy %s goes by table %s of %s: %s", name, newTag, d.stewards[current].address, strings.Join(hosts, " "))
 				tag = newTag
 				mu.Lock()
 				table = hosts
@@ -227,12 +247,12 @@
 	}
 }
 
-// poll makes one long poll and returns the hosts of the first class.
-func (d *daemonBed) poll(name, zone, tag string) ([]string, string, error) {
+// poll makes one long poll of a steward and returns the hosts of the first class.
+func (d *daemonBed) poll(address, name, zone, tag string) ([]string, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet,
-		"http://"+d.address+"/v1/proxies/"+name+"/tables?zone="+zone, nil)
+		"http://"+address+"/v1/proxies/"+name+"/tables?zone="+zone, nil)
 	if err != nil {
 		return nil, "", err
 	}
