Review: stewards of the bed listen where outgoing connections take no port

Cause: with many runs side by side a steward found its port taken by an outgoing connection of another run. Change: the bed gives stewards addresses of a loopback network of their own.

--- a/review/_bed/daemon.go
+++ b/review/_bed/daemon.go
@@ -75,7 +75,7 @@
 // addDaemon adds a steward with a state folder of its own; more is the rest of its configuration.
 func (d *daemonBed) addDaemon(more string) *daemon {
 	name := fmt.Sprintf("steward-%d", len(d.stewards))
-	s := &daemon{bed: d, address: freeAddress(), config: filepath.Join(d.folder, name+".textproto"),
+	s := &daemon{bed: d, address: d.freeAddress(), config: filepath.Join(d.folder, name+".textproto"),
 		log: filepath.Join(d.folder, name+".log")}
 	d.write(name+".textproto", fmt.Sprintf(`listen: %q
 zones: ["hill", "lake"]
--- a/review/_bed/explore.go
+++ b/review/_bed/explore.go
@@ -13,6 +13,9 @@
 	}
 }
 
+// slowest is the least pace of a slow channel, as a part of the usual one.
+var slowest = map[string]float64{"": 0.4, "1": 0.1}[os.Getenv("SLOW")]
+
 func orders() *settings {
 	set := signing()
 	set.Classes[2].MaxUs = 5e6
@@ -256,7 +259,7 @@
 		}
 	case "slowchannel":
 		b.mu.Lock()
-		s.channel.factor = 0.4 + 0.5*part
+		s.channel.factor = slowest + 0.5*part
 		s.channel.pace = s.channel.factor
 		b.mu.Unlock()
 		time.Sleep(b.draw(5, 10))
--- a/review/_bed/steward.go
+++ b/review/_bed/steward.go
@@ -43,9 +43,9 @@
 	pace    float64 // the same, by which the times of the rules grow
 }
 
-// freeAddress returns an address at which nobody listens.
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddress returns an address at which nobody listens. It is none that outgoing connections get by themselves.
+func (b *bed) freeAddress() string {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.250.1:0", b.net))
 	if err != nil {
 		fail("no free port: %v", err)
 	}
@@ -56,7 +56,7 @@
 // addSteward adds a steward that does not run yet.
 func (b *bed) addSteward(zone string) *steward {
 	s := &steward{bed: b, index: len(b.stewards), zone: zone, told: map[string]*toldHost{}, channel: channel{factor: 1, pace: 1}}
-	s.address = freeAddress()
+	s.address = b.freeAddress()
 	s.agent = b.newAgent(s)
 	s.config = filepath.Join(b.folder, fmt.Sprintf("config-%d.json", s.index))
 	b.mu.Lock()
