--- a/review/_bed/hosts.go
+++ b/review/_bed/hosts.go
@@ -38,6 +38,7 @@
 	runs        int         // tries that it has answered
 	pushes      []push      // tries of a cold host in the last window of the rule on cold hosts
 	fallen      bool
+	hardest     float64 // most tries of a window, as a part of those that push it over
 }
 
 // addHosts adds hosts that have run for long, so many in each zone.
@@ -173,7 +174,7 @@
 	knowing bool
 }
 
-// pushed judges the rule on cold hosts: with some slack for chance, a host falls over when the tries of a window exceed
+// pushed judges the rule on cold hosts: with a tenth for chance, a host falls over when the tries of a window exceed
 // so many times its present capacity. The caller holds the mutex.
 func (h *host) pushed(now time.Time, knowing bool) {
 	factor := h.factor(now)
@@ -186,7 +187,8 @@
 		h.pushes = h.pushes[1:]
 	}
 	budget := h.bed.set.FallMultiple * h.capacity * factor * window.Seconds()
-	if float64(len(h.pushes)) <= budget+2*math.Sqrt(budget)+1 {
+	h.hardest = math.Max(h.hardest, float64(len(h.pushes))/budget)
+	if float64(len(h.pushes)) <= 1.1*budget+1 {
 		return
 	}
 	h.fallen = true
--- a/review/_bed/proxies.go
+++ b/review/_bed/proxies.go
@@ -27,6 +27,7 @@
 
 	// The bed's mutex guards the fields below.
 	alive       bool
+	boots       int
 	barred      bool // it reaches no steward
 	fresh       bool
 	home        *steward // joined to it; nil: none
@@ -73,6 +74,7 @@
 	b := p.bed
 	classes := len(b.set.Classes)
 	p.alive, p.fresh = true, true
+	p.boots++
 	p.tables = make([]table, classes)
 	p.bareSince = make([]time.Time, classes)
 	p.arrived, p.unserved = make([]int, classes), make([]int, classes)
@@ -569,12 +571,36 @@
 		p.failures[h.id] = 0
 		return
 	}
-	t.failed++
+	if h.mode == hanging {
+		// The try is given up after a part of the class's patience.
+		boots := p.boots
+		time.AfterFunc(micros(b.set.Classes[class].MaxUs*b.between(0.4, 1)), func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if p.boots == boots && !b.closed {
+				p.failed(h, class, time.Now())
+			}
+		})
+		return
+	}
+	p.failed(h, class, now)
+}
+
+// failed counts a failed try, and has the proxy keep away from a host at which so many failed in a row. The caller holds
+// the mutex.
+func (p *proxy) failed(h *host, class int, now time.Time) {
+	b := p.bed
+	t := p.tries[h.id]
+	if t == nil {
+		t = &tally{tries: 1}
+		p.tries[h.id] = t
+	}
+	t.failed = min(t.failed+1, t.tries)
 	p.unserved[class]++
 	p.failures[h.id]++
 	if b.set.Ejects > 0 && p.failures[h.id] >= b.set.Ejects {
 		p.failures[h.id] = 0
-		p.avoided[h.id] = now.Add(seconds(b.between(2, 8)))
+		p.avoided[h.id] = now.Add(seconds(b.between(2.5, 7.9)))
 	}
 }
 
