--- a/review/_bed/case_flood.go
+++ b/review/_bed/case_flood.go
@@ -14,7 +14,7 @@
 	return set
 }
 
-// playFlood: a zone is lost for 5 s and returns cold, and one of its hosts then takes work and answers nothing. Three
+// playFlood: a zone is lost for 12 s and returns cold, and one of its hosts then takes work and answers nothing. Three
 // hosts of the other zone are replaced meanwhile, in steps.
 func playFlood(b *bed) {
 	b.rule = "drain"
@@ -30,28 +30,28 @@
 	b.summary("before")
 	lake := b.zoneHosts("lake")
 	if b.trouble {
-		b.logf("zone lake is lost for 5 s")
+		b.logf("zone lake is lost for 12 s")
 		for _, h := range lake {
-			go b.restartHost(h, 5*time.Second)
+			go b.restartHost(h, 12*time.Second)
 		}
-		b.sleepUntil(21.5)
+		b.sleepUntil(29)
 		b.summary("the zone is back and cold")
 		b.logf("host %s of zone lake takes work and answers nothing", lake[0].id)
 		lake[0].setMode(hanging)
 		go func() {
-			b.sleepUntil(38)
+			b.sleepUntil(45.5)
 			b.logf("host %s of zone lake answers again", lake[0].id)
 			lake[0].setMode(serving)
 		}()
 	}
 	for i, drained := range b.zoneHosts("hill")[:3] {
-		b.sleepUntil(28 + 1.7*float64(i))
+		b.sleepUntil(35 + 1.7*float64(i))
 		b.summary("before a drain")
 		b.logf("host %s of zone hill is drained, and a new one started in its place", drained.id)
 		b.list(drained, "Terminating")
 		b.addHost("hill", drained.capacity, true)
 	}
-	for t := 32.0; t < 44; t++ {
+	for t := 39.0; t < 52; t++ {
 		b.sleepUntil(t)
 		b.summary("then")
 	}
