--- a/review/_bed/case_lostzone.go
+++ b/review/_bed/case_lostzone.go
@@ -32,7 +32,7 @@
 	}
 	b.sleepUntil(24)
 	b.summary("after ten seconds")
-	b.sleepUntil(40)
+	b.sleepUntil(38)
 	b.summary("at the end")
 	s.keepLog(60)
 }
--- a/review/_bed/case_refused.go
+++ b/review/_bed/case_refused.go
@@ -18,7 +18,7 @@
 // processes run on, and the list does not change.
 func playRefused(b *bed) {
 	b.rule = "lost"
-	b.addHosts(map[string]int{"north": 5, "east": 5, "west": 5}, 10)
+	b.addHosts(map[string]int{"north": 4, "east": 5, "west": 6}, 10)
 	s := b.addSteward("west")
 	for _, zone := range b.set.Zones {
 		b.addProxies(zone, 6, 4)
