Hold back warming hosts by the success ratio of their own table

Cause: where proxies eject hosts by themselves, a host that is warming up gets no traffic while three failures in a row are likely, by the fleet's success ratio. Where a class must stay in its zone, each zone has a table of its own, and three healthy zones hide that the fourth fails nearly everything.

Change: each shared table has its own success ratio, which slow start uses. With one table for all zones the figures are the same to the digit (golden files unchanged).

Regression test: TestZoneHangsAroundWarmingHost, the deployment of the case on a scripted clock with proxies and hosts of its own.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -38,6 +38,7 @@
 	discovery  discoveryState
 	reports    reportTiming
 	fleet      fleetStats
+	tables     []tableStats // by number of the shared table
 	admission  admissionState
 	slowStart  []slowStartState // by number of the shared table
 	checks     healthCheckState
@@ -52,6 +53,7 @@
 func New(
 	deployment Deployment, classes []RequestClass, channel ControlChannel, limits SafetyLimits, objective Objective,
 ) *Balancer {
+	sharedTables := deployment.Zones + 1
 	b := &Balancer{
 		deployment:      deployment,
 		classes:         classes,
@@ -62,7 +64,8 @@
 		random:          jitterSource{seed: deployment.Seed},
 		zoneReconnected: make([]bool, deployment.Zones),
 		fleet:           fleetStats{successRatio: 1},
-		slowStart:       make([]slowStartState, deployment.Zones+1),
+		tables:          newTableStats(sharedTables),
+		slowStart:       make([]slowStartState, sharedTables),
 		admission:       newAdmissionState(len(classes), deployment.DefaultRetryPolicy),
 	}
 	b.crossZoneClasses = crossZoneClasses(classes)
--- a/routing/report.go
+++ b/routing/report.go
@@ -21,8 +21,8 @@
 	// demandSmoothing is the weight of a proxy's last report in its smoothed request rate.
 	demandSmoothing = 0.3
 
-	// successRatioSmoothing is the weight of the old value in the fleet's success ratio where the last reports show a
-	// higher one. A lower one replaces it at once.
+	// successRatioSmoothing is the weight of the old value in a success ratio where the last reports show a higher one.
+	// A lower one replaces it at once.
 	successRatioSmoothing = 0.5
 
 	// minReportedRateRatio is the least credible request rate in a host's load report, as a fraction of the arrival rate
@@ -80,6 +80,40 @@
 	successRatio    float64 // successes per attempt
 }
 
+// tableStats are statistics over the hosts of a shared table. Where zones have their own tables, a zone in which most
+// attempts fail hardly shows in the statistics of the fleet.
+type tableStats struct {
+	counts       attemptCounts // of the report round in progress
+	successRatio float64       // successes per attempt
+}
+
+// newTableStats returns the statistics before the first reports, for a number of tables.
+func newTableStats(tables int) []tableStats {
+	return slices.Repeat([]tableStats{{successRatio: 1}}, tables)
+}
+
+// attemptCounts counts the attempts that were reported in one report round. With one success added, the success ratio
+// is 1 where there were no attempts.
+type attemptCounts struct {
+	successes float64
+	attempts  float64
+}
+
+func newAttemptCounts() attemptCounts { return attemptCounts{successes: 1, attempts: 1} }
+
+// add counts the attempts at a host.
+func (c *attemptCounts) add(reported requestSums) {
+	c.successes += reported.successes
+	c.attempts = c.attempts + reported.successes + reported.failures
+}
+
+// smoothedRatio returns the success ratio after the round, given the one before: see successRatioSmoothing.
+func (c *attemptCounts) smoothedRatio(previous float64) float64 {
+	ratio := c.successes / c.attempts
+	smoothed := successRatioSmoothing*previous + (1-successRatioSmoothing)*c.successes/c.attempts
+	return math.Min(ratio, smoothed)
+}
+
 // processReports runs a report round: it updates the estimates from the reports since the last one, rebalances and sets
 // admission. It only runs after reports, so that without them the published tables stay unchanged.
 func (b *Balancer) processReports(writer UpdateWriter) {
@@ -116,22 +150,22 @@
 	}
 }
 
-// updateEstimates updates the report cycle, each host's arrival rate and mean latency, and the fleet's success ratio
-// and median latency. passedMs is the time since the last report round.
+// updateEstimates updates the report cycle, each host's arrival rate and mean latency, the success ratios, and the
+// fleet's median latency. passedMs is the time since the last report round.
 func (b *Balancer) updateEstimates(passedMs float64) {
 	b.updateReportCycle()
 	cycles := passedMs / b.reports.cycleMs
 	windowKept := math.Pow(windowDecay, cycles)
 	recentKept := math.Pow(recentDecay, cycles)
 	connectedShare := b.connectedShare()
-	successes := 1.0 // with one success added, the success ratio is 1 if there were no attempts
-	attempts := 1.0
+	b.resetAttemptCounts()
+	fleetCounts := newAttemptCounts()
 	var latenciesMs []float64
 	for _, index := range b.hostOrder {
 		host := &b.hosts[index]
 		reported := host.stats.takePending(recentKept, b.nowMs)
-		successes += reported.successes
-		attempts = attempts + reported.successes + reported.failures
+		fleetCounts.add(reported)
+		b.tableOf(host).counts.add(reported)
 		if b.nowMs < host.balance.cooldownUntilMs-b.reports.cycleMs { // these reports do not show the last transfer yet
 			host.stats.window = requestSums{}
 			continue
@@ -142,15 +176,34 @@
 			latenciesMs = append(latenciesMs, host.stats.window.latencyMs/host.stats.window.successes)
 		}
 	}
-	successRatio := successes / attempts
-	smoothed := successRatioSmoothing*b.fleet.successRatio + (1-successRatioSmoothing)*successes/attempts
-	b.fleet.successRatio = math.Min(successRatio, smoothed)
+	b.fleet.successRatio = fleetCounts.smoothedRatio(b.fleet.successRatio)
+	b.updateTableSuccessRatios()
 	if len(latenciesMs) > 0 {
 		slices.Sort(latenciesMs)
 		b.fleet.medianLatencyMs = latenciesMs[len(latenciesMs)/2]
 	}
 }
 
+// resetAttemptCounts begins the counts of a report round for each shared table.
+func (b *Balancer) resetAttemptCounts() {
+	for i := range b.tables {
+		b.tables[i].counts = newAttemptCounts()
+	}
+}
+
+// updateTableSuccessRatios updates the success ratio of each shared table from the counts of the report round.
+func (b *Balancer) updateTableSuccessRatios() {
+	for i := range b.tables {
+		table := &b.tables[i]
+		table.successRatio = table.counts.smoothedRatio(table.successRatio)
+	}
+}
+
+// tableOf returns the statistics of the shared table that holds a host.
+func (b *Balancer) tableOf(host *hostRecord) *tableStats {
+	return &b.tables[b.sharedTable(host.endpoint.zone)]
+}
+
 // updateReportCycle updates the report cycle by the time that each report covers: in a large fleet each report holds
 // only some of the hosts, so that a host is reported less often than once in each report interval.
 func (b *Balancer) updateReportCycle() {
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -53,23 +53,23 @@
 }
 
 // slowStartLoadFactor returns a factor from 0 to 1 on the weight of a host that is warming up. It is lower where the
-// fleet fails attempts or the warm hosts of its table are published with less than their capacity, so that all proxies
+// hosts of its table fail attempts, or the warm ones are published with less than their capacity, so that all proxies
 // together stay below the load at which such a host collapses.
 func (b *Balancer) slowStartLoadFactor(host *hostRecord) float64 {
 	loadShare := math.Min(1, b.limits.CollapseMultiple*slowStartLoadShare)
-	return b.fleet.successRatio * b.slowStartOf(host).publishedShare * loadShare
+	return b.tableOf(host).successRatio * b.slowStartOf(host).publishedShare * loadShare
 }
 
 // updateSlowStart decides for each shared table whether its hosts that are warming up may get traffic.
 func (b *Balancer) updateSlowStart(writer UpdateWriter) {
 	b.measureTableCapacities()
 	if !b.zoneLocal {
-		b.updateTableSlowStart(writer, &b.slowStart[b.sharedTable(0)], nil)
+		b.updateTableSlowStart(writer, b.sharedTable(0), nil)
 		return
 	}
 	for zone := range b.deployment.Zones {
 		fields := []Field{{"zone", float64(zone), 0}}
-		b.updateTableSlowStart(writer, &b.slowStart[b.sharedTable(zone)], fields)
+		b.updateTableSlowStart(writer, b.sharedTable(zone), fields)
 	}
 }
 
@@ -78,12 +78,14 @@
 // own first weights, nor while proxies that eject hosts by themselves may eject most of them and leave only a host that
 // has just started. Where no ready host is warm, those that are warming up get traffic once they can take all of it
 // together. It logs a change with the given fields first.
-func (b *Balancer) updateTableSlowStart(writer UpdateWriter, table *slowStartState, fields []Field) {
+func (b *Balancer) updateTableSlowStart(writer UpdateWriter, number int, fields []Field) {
+	table := &b.slowStart[number]
+	successRatio := b.tables[number].successRatio
 	capacity := &table.capacity
 	var allowed bool
 	if capacity.anyWarm {
 		table.publishedShare = math.Min(1, capacity.published/math.Max(capacity.ready, minDivisor))
-		allowed = b.reports.lastAtMs >= b.reports.observableAtMs && !b.proxiesMayEjectMost()
+		allowed = b.reports.lastAtMs >= b.reports.observableAtMs && !b.proxiesMayEjectMost(successRatio)
 	} else {
 		table.publishedShare = 1
 		allowed = capacity.ready*b.limits.CollapseMultiple >= slowStartOnlyMargin*capacity.total
@@ -94,7 +96,7 @@
 	table.allowed = allowed
 	writer.Log(Event{SlowStartChanged, NoHost, append(fields,
 		Field{"allowed", indicator(allowed), 0},
-		Field{"success_ratio", b.fleet.successRatio, 2},
+		Field{"success_ratio", successRatio, 2},
 	)})
 }
 
@@ -123,16 +125,17 @@
 	}
 }
 
-// proxiesMayEjectMost reports whether proxies that eject hosts by themselves are likely to eject most hosts.
-func (b *Balancer) proxiesMayEjectMost() bool {
+// proxiesMayEjectMost reports whether proxies that eject hosts by themselves are likely to eject most hosts of a table
+// with the given success ratio.
+func (b *Balancer) proxiesMayEjectMost(successRatio float64) bool {
 	failuresInARow := float64(b.deployment.ProxyEjectAfter)
-	return failuresInARow != 0 && math.Pow(1-b.fleet.successRatio, failuresInARow) > maxEjectProbability
+	return failuresInARow != 0 && math.Pow(1-successRatio, failuresInARow) > maxEjectProbability
 }
 
 // exceedsSlowStart reports whether the published weight of a host that is warming up is far above its target weight.
-// A target weight that is lower because of the fleet's success ratio does not count: that lowers all such hosts at
-// once, and their updates would keep removals out of the control channel.
+// A target weight that is lower because of the table's success ratio does not count: that lowers all such hosts of the
+// table at once, and their updates would keep removals out of the control channel.
 func (b *Balancer) exceedsSlowStart(host *hostRecord) bool {
 	return b.slowStartFactor(host) < 1 &&
-		b.targetWeight(host, false) < host.publication.weight*slowStartCutRatio*b.fleet.successRatio
+		b.targetWeight(host, false) < host.publication.weight*slowStartCutRatio*b.tableOf(host).successRatio
 }
--- /dev/null
+++ b/routing/zonefailure_test.go
@@ -0,0 +1,75 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Figures of a zone that fails, in a deployment of four zones with five hosts each.
+const (
+	failingZone        = 1
+	zoneFailureHosts   = 20
+	hostCapacity       = 12.0 // requests a second
+	usualRequestRate   = 5.9  // requests a second of a proxy
+	failingRequestRate = 7.5  // of a proxy in the zone that fails, whose hosts are busier than the others
+	collapseWindowMs   = 3000 // time at CollapseMultiple after which a host that is warming up collapses
+	arrivalTolerance   = 1.1  // requests arrive at random
+)
+
+// Guards against a host that collapses after its start because the other hosts of its zone hang: the proxies eject them
+// by themselves and send everything to the one that remains. The other zones keep the fleet's success ratio high.
+func TestZoneHangsAroundWarmingHost(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			set := fourZoneSettings()
+			fleet := newProxyFleet(set, seed, zoneFailureHosts, requestRateOfZone)
+			fleet.run(14000)
+			startedAtMs := fleet.clockMs
+			replacement := zoneFailureHosts
+			fleet.listHost(failingZone, failingZone, Draining, 0)
+			fleet.listHost(replacement, failingZone, Ready, startedAtMs)
+			fleet.run(700)
+			for host := failingZone + set.deployment.Zones; host < zoneFailureHosts; host += set.deployment.Zones {
+				fleet.hosts[host].hanging = true
+			}
+			fleet.run(10000)
+			most := fleet.maxAttemptRatio(replacement, collapseWindowMs, func(endMs float64) float64 {
+				initial := set.limits.SlowStartInitialFactor
+				factor := initial + (1-initial)*(endMs-startedAtMs)/set.limits.SlowStartMs
+				return set.limits.CollapseMultiple * hostCapacity * factor * collapseWindowMs / msPerSecond
+			})
+			if most > arrivalTolerance {
+				t.Errorf("the host that is warming up got %.2f times the attempts at which it collapses", most)
+			}
+		})
+	}
+}
+
+func requestRateOfZone(zone int) float64 {
+	if zone == failingZone {
+		return failingRequestRate
+	}
+	return usualRequestRate
+}
+
+// fourZoneSettings returns the settings of a deployment of four zones with a class that must stay in its zone, whose
+// proxies eject hosts by themselves.
+func fourZoneSettings() settings {
+	set := defaultSettings()
+	set.deployment.Zones = 4
+	set.deployment.Proxies = 24
+	set.deployment.ProxyEjectAfter = 3
+	set.deployment.AdmissionControl = false
+	set.classes = []RequestClass{
+		{LatencyObjectiveMs: 1000, DeadlineMs: 2500, PriorityWeight: 3},
+		{LatencyObjectiveMs: 500, DeadlineMs: 1200, PriorityWeight: 9, ZoneLocal: true},
+	}
+	set.channel.EntriesPerSecond = 7100
+	set.channel.MessageOverhead = 6
+	set.channel.MaxBacklog = 7100
+	set.channel.PropagationDelayMs = 270
+	set.channel.MaxMessages = 20
+	set.limits.SlowStartInitialFactor = 0.15
+	set.limits.SlowStartMs = 18000
+	return set
+}
