Compare a failing host with its own table, not with the fleet

Where zones have their own tables and one zone fails as a whole, all its old hosts lost half of their weight, since they fail more than the fleet. In a table only the ratios of weights count, so the zone's hosts that were warming up gained the traffic.

Change: the penalty compares a host with the success ratio of its table.

--- a/routing/weight.go
+++ b/routing/weight.go
@@ -3,7 +3,7 @@
 import "math"
 
 const (
-	// penaltyThreshold is the fraction of the fleet's success ratio below which a host loses weight for its failures.
+	// penaltyThreshold is the fraction of its table's success ratio below which a host loses weight for its failures.
 	penaltyThreshold = 0.8
 
 	// minSuccessPenalty is the lowest factor for failures: old failures still count for a while after their cause has
@@ -43,12 +43,12 @@
 }
 
 // successPenalty returns the factor, from minSuccessPenalty to 1, on the weight of a host whose attempts fail more
-// often than the fleet's. It takes effect at once, whatever the fault.
+// often than those at all hosts of its table. It takes effect at once, whatever the fault.
 func (b *Balancer) successPenalty(host *hostRecord) float64 {
 	stats := &host.stats
 	successRatio := (stats.recentSuccesses + priorSuccesses) / (stats.recentAttempts() + priorSuccesses)
 	penalty := math.Max(minSuccessPenalty, successRatio)
-	if penalty > penaltyThreshold*b.fleet.successRatio {
+	if penalty > penaltyThreshold*b.tableOf(host).successRatio {
 		return 1
 	}
 	return penalty
--- a/routing/zonefailure_test.go
+++ b/routing/zonefailure_test.go
@@ -73,3 +73,27 @@
 	set.limits.SlowStartMs = 18000
 	return set
 }
+
+// Guards against a warming host that gains traffic from its zone because all other hosts of the zone fail alike: none of
+// them is worse than its table, so their weights must not be halved beside that of the warming host.
+func TestZoneFailuresKeepWeightsOfItsTable(t *testing.T) {
+	set := fourZoneSettings()
+	set.deployment.ProxyEjectAfter = 0
+	balancer := set.newBalancer(0)
+	const hostsPerZone = 3
+	for host := range set.deployment.Zones * hostsPerZone {
+		balancer.ObserveEndpoint(host, host%set.deployment.Zones, Ready, 1, 0)
+	}
+	h := &harness{Balancer: balancer, quiet: true}
+	reports := uniformReports(set.deployment.Zones*hostsPerZone, healthyReport)
+	h.run(5000, reports)
+	for host := failingZone; host < set.deployment.Zones*hostsPerZone; host += set.deployment.Zones {
+		reports[host] = hostReport{attempts: 10, failures: 8, latencyMs: healthyReport.latencyMs}
+	}
+	h.run(5000, reports)
+	for host := failingZone; host < set.deployment.Zones*hostsPerZone; host += set.deployment.Zones {
+		if penalty := h.successPenalty(&h.hosts[host]); penalty != 1 {
+			t.Errorf("host %d has a penalty of %.2f, want 1: all hosts of its table fail alike", host, penalty)
+		}
+	}
+}
