Bound the memory of the messages of all connections of the node together

In the node, with 300 proxies and a limit of 64 MB, 304 MB are in use after each has sent 900,000 bytes of a message of 1,000,000; 275 MB where each has left PONGs unread.

Cause: the bounds of a message (1 MiB) and of a write queue (512 KiB) held for each connection, none for all, and an identified session could stop half way for ever.

Change: two budgets of an eighth of the memory limit each, with golang.org/x/sync/semaphore.

--- a/internal/platform/connection_test.go
+++ b/internal/platform/connection_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // newPipeConnection makes an in-memory connection and returns it with the peer's end.
@@ -18,7 +20,8 @@
 		mustClose(t, local)
 		mustClose(t, remote)
 	})
-	return &connection{Conn: local, goroutines: goroutines}, remote
+	budget := semaphore.NewWeighted(defaultBudgetBytes)
+	return &connection{Conn: local, goroutines: goroutines, outputBudget: budget}, remote
 }
 
 // A peer that reads nothing is disconnected once more than maxQueuedBytes are queued for it, and the goroutine that
--- a/internal/platform/helpers_test.go
+++ b/internal/platform/helpers_test.go
@@ -245,7 +245,7 @@
 	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
 		t.Fatal(err)
 	}
-	client := &peer{Conn: conn, t: t, reader: resp.NewReader(conn)}
+	client := &peer{Conn: conn, t: t, reader: resp.NewReader(conn, nil)}
 	client.send(words)
 	return client
 }
--- a/internal/platform/node.go
+++ b/internal/platform/node.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"barleysail/internal/clock"
 	"barleysail/internal/http1"
@@ -43,7 +44,9 @@
 	connections      *connectionLimiter
 	watcher          *endpointWatcher
 	healthClient     *http1.Client
-	healthCheckSlots chan struct{} // holds an element for each health check in flight
+	healthCheckSlots chan struct{}       // holds an element for each health check in flight
+	inputBudget      *semaphore.Weighted // bytes for large messages that are being read
+	outputBudget     *semaphore.Weighted // bytes that wait to be written
 	warnings         *rateLimitedLog
 
 	events     chan func()    // run by the event loop, in order
@@ -76,6 +79,8 @@
 		connections:      newConnectionLimiter(config.Limits.connections(healthChecks)),
 		healthClient:     &http1.Client{MaxIdleConns: noIdleConnections},
 		healthCheckSlots: make(chan struct{}, healthChecks),
+		inputBudget:      config.Limits.newMemoryBudget(inputShareOfMemory),
+		outputBudget:     config.Limits.newMemoryBudget(outputShareOfMemory),
 		warnings:         newRateLimitedLog(log, time.Now),
 		events:           make(chan func(), maxQueuedEvents),
 		done:             make(chan struct{}),
--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"time"
 
 	"barleysail/internal/resp"
@@ -49,7 +50,7 @@
 			}
 			continue
 		}
-		conn := &connection{Conn: accepted, acceptNumber: number, goroutines: &n.goroutines}
+		conn := n.newConnection(accepted, number)
 		if !n.connections.admit(ctx, conn) {
 			conn.terminate()
 			n.warnings.warn("connection rejected: sessions in use hold all descriptors", nil)
@@ -59,10 +60,20 @@
 	}
 }
 
+func (n *Node) newConnection(accepted net.Conn, number uint64) *connection {
+	return &connection{
+		Conn:         accepted,
+		acceptNumber: number,
+		goroutines:   &n.goroutines,
+		outputBudget: n.outputBudget,
+	}
+}
+
 // serve reads a connection until it ends. It releases the descriptor before it posts the end of the session, since the
 // event loop may be busy.
 func (n *Node) serve(conn *connection) {
-	reader := resp.NewReader(conn)
+	reader := resp.NewReader(conn, &connectionInput{conn: conn, budget: n.inputBudget})
+	defer reader.Release()
 	session, err := n.identify(reader, conn)
 	if err == nil {
 		n.connections.markActive(conn)
@@ -142,6 +153,8 @@
 			var malformed *resp.ProtocolError
 			if errors.As(err, &malformed) {
 				n.warnings.warn("session sent bytes that are not a message", err)
+			} else if errors.Is(err, errInputMemory) || errors.Is(err, os.ErrDeadlineExceeded) {
+				n.warnings.warn("session closed during a large message", err)
 			}
 			n.log.Debug().Err(err).Int("proxy", session.proxy).Msg("session ended")
 			return
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -5,11 +5,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -23,6 +23,13 @@
 
 	readBufferBytes = 2048 // most messages fit
 	bulkChunkBytes  = 512  // size of the chunks in which a bulk string is read and allocated
+
+	// unreservedBytes is the size of a message up to which no memory is reserved in the Budget.
+	unreservedBytes = 4 << 10
+	// reservationBytes is the number of bytes of a message for which memory is reserved at a time.
+	reservationBytes = 16 << 10
+	// memoryPerByte is the memory that is reserved for a byte of a message, which is copied as the message grows.
+	memoryPerByte = 2
 )
 
 // Limits bound one message.
@@ -31,6 +38,14 @@
 	Bytes int // of the whole message, including its framing
 }
 
+// Budget bounds the memory that the large messages of many connections hold together.
+type Budget interface {
+	// Reserve reserves memory for a message that is being read. With an error, Read ends with that error.
+	Reserve(bytes int) error
+	// Release releases all memory that was reserved for the message.
+	Release()
+}
+
 // ProtocolError is the error of bytes that are not a message within the limits. The connection cannot be read any
 // further, since the start of the next message is unknown.
 type ProtocolError struct {
@@ -47,18 +62,50 @@
 // Reader reads messages from a connection. It is not safe for concurrent use.
 type Reader struct {
 	buffer    *bufio.Reader
-	bytesLeft int // bytes that the current message may still have
+	budget    Budget // nil: memory is not bounded
+	bytesLeft int    // bytes that the current message may still have
+	bytesRead int    // bytes of the bulk strings of the current message
+	reserved  int    // bytes of the current message for which memory is reserved, or which need none
 }
 
-// NewReader returns a Reader that reads from source.
-func NewReader(source io.Reader) *Reader {
-	return &Reader{buffer: bufio.NewReaderSize(source, readBufferBytes)}
+// NewReader returns a Reader that reads from source. It reserves memory for large messages in the budget, unless that is
+// nil.
+func NewReader(source io.Reader, budget Budget) *Reader {
+	return &Reader{
+		buffer:   bufio.NewReaderSize(source, readBufferBytes),
+		budget:   budget,
+		reserved: unreservedBytes,
+	}
+}
+
+// Release releases the memory that is reserved for the last message. The next Read does so as well; it is to be called
+// after the last Read.
+func (r *Reader) Release() {
+	r.bytesRead = 0
+	if r.reserved > unreservedBytes {
+		r.budget.Release()
+		r.reserved = unreservedBytes
+	}
+}
+
+// reserve reserves memory for further bytes of the current message.
+func (r *Reader) reserve(bytes int) error {
+	r.bytesRead += bytes
+	if r.budget == nil || r.bytesRead <= r.reserved {
+		return nil
+	}
+	if err := r.budget.Reserve(reservationBytes * memoryPerByte); err != nil {
+		return err
+	}
+	r.reserved += reservationBytes
+	return nil
 }
 
 // Read reads one message and returns its words in the memory of the given slice, whose content it overwrites. The error
 // is a *ProtocolError if the bytes are not a message within the limits, io.EOF if the input ends between two messages,
-// io.ErrUnexpectedEOF if it ends within one, or another error of the source.
+// io.ErrUnexpectedEOF if it ends within one, or another error of the source or the budget.
 func (r *Reader) Read(words []string, limits Limits) ([]string, error) {
+	r.Release()
 	r.bytesLeft = limits.Bytes
 	count, err := r.readLength(arrayPrefix, limits.Words)
 	if err != nil {
@@ -140,11 +187,15 @@
 	if r.bytesLeft < 0 {
 		return "", protocolErrorf("message exceeds its byte limit")
 	}
-	var body bytes.Buffer
+	var body strings.Builder
 	var chunk [bulkChunkBytes]byte
 	for body.Len() < size {
-		count, err := io.ReadFull(r.buffer, chunk[:min(size-body.Len(), len(chunk))])
-		body.Write(chunk[:count])
+		next := chunk[:min(size-body.Len(), len(chunk))]
+		if err := r.reserve(len(next)); err != nil {
+			return "", err
+		}
+		count, err := io.ReadFull(r.buffer, next)
+		body.Write(next[:count])
 		if err != nil {
 			return "", err
 		}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -28,7 +28,7 @@
 		"*1\r\n$18446744073709551617\r\n",
 	} {
 		for _, source := range []io.Reader{strings.NewReader(input), iotest.OneByteReader(strings.NewReader(input))} {
-			fmt.Fprintf(&trace, "%q:%s\n", input, readAll(NewReader(source)))
+			fmt.Fprintf(&trace, "%q:%s\n", input, readAll(NewReader(source, nil)))
 		}
 	}
 	golden.CompareForTest(t, trace.String())
@@ -53,14 +53,14 @@
 	f.Add([]byte("*2\r\n$1\r\na\r\n$0\r\n\r\n"))
 	f.Add([]byte("*1\r\n$4\r\nPING\r\n*9\r\n"))
 	f.Fuzz(func(t *testing.T, input []byte) {
-		reader := NewReader(strings.NewReader(string(input)))
+		reader := NewReader(strings.NewReader(string(input)), nil)
 		for {
 			words, err := reader.Read(nil, testLimits)
 			if err != nil {
 				return
 			}
 			written := string(Append(nil, words...))
-			reread, err := NewReader(strings.NewReader(written)).Read(nil, testLimits)
+			reread, err := NewReader(strings.NewReader(written), nil).Read(nil, testLimits)
 			if diff := cmp.Diff(words, reread); diff != "" || err != nil || len(words) > testLimits.Words {
 				t.Fatalf("input %q: message of %d words, want at most %d; read again after writing it: error %v, want nil; "+
 					"(-first +reread):\n%s", input, len(words), testLimits.Words, err, diff)
