Drop messages of sessions that have ended or were replaced

In the node, messages of a proxy's former connection that were still waiting were counted after the proxy had connected again.

Cause: only acknowledgements asked whether their session was current.

Change: the event loop drops a message whose session is not registered. A session that ends by itself is unaffected: its messages come before its end.

Two tests that passed messages of sessions that were never connected connect them first; their checks are unchanged.

--- a/internal/platform/message_handler.go
+++ b/internal/platform/message_handler.go
@@ -6,10 +6,17 @@
 	"slices"
 )
 
+// errSessionEnded is the error of a message that is handled after its session has ended, or was replaced by another one
+// of the same proxy.
+var errSessionEnded = errors.New("the session has ended")
+
 // handleMessage passes a message of a session to the balancer. decodeErr is the error of decoding the message, if any.
 // The error says why the message was dropped. Every message except one with a *layoutError, even a malformed one,
 // reconnects an unresponsive session.
 func (n *Node) handleMessage(session *peerSession, message sessionMessage, decodeErr error) error {
+	if !n.sessions.isCurrent(session) {
+		return errSessionEnded
+	}
 	var badLayout *layoutError
 	hasFields := !errors.As(decodeErr, &badLayout)
 	if hasFields && session.proxy != noProxy && n.sessions.unresponsive[session.proxy] == session {
--- a/internal/platform/session_registry.go
+++ b/internal/platform/session_registry.go
@@ -35,6 +35,14 @@
 	return others
 }
 
+// isCurrent reports whether a session has neither ended nor been replaced by another one.
+func (r *sessionRegistry) isCurrent(session *peerSession) bool {
+	if session.proxy == noProxy {
+		return slices.Contains(r.collectors[session.zone], session)
+	}
+	return r.active[session.proxy] == session || r.unresponsive[session.proxy] == session
+}
+
 // addCollector adds the session of a collector, and ends the oldest one of the zone if there are too many.
 func (r *sessionRegistry) addCollector(session *peerSession) {
 	sessions := r.collectors[session.zone]
--- a/internal/platform/session_test.go
+++ b/internal/platform/session_test.go
@@ -221,6 +221,8 @@
 	node := newIdleNode(t)
 	proxySession := &peerSession{connection: &connection{}, proxy: 2}
 	collector := &peerSession{connection: &connection{}, proxy: noProxy}
+	node.connect(proxySession)
+	node.connect(collector)
 	counts := attemptCounts{intervalMs: 1000, attempts: 1}
 	for _, test := range []struct {
 		name, field string
--- a/internal/platform/simadapter_equivalence_test.go
+++ b/internal/platform/simadapter_equivalence_test.go
@@ -53,6 +53,7 @@
 type equivalenceRun struct {
 	t            *testing.T
 	node         *Node
+	collector    *peerSession
 	nodeOutput   bytes.Buffer
 	writer       simadapterOutput
 	adapterInput bytes.Buffer
@@ -61,7 +62,8 @@
 
 func newEquivalenceRun(t *testing.T) *equivalenceRun {
 	t.Helper()
-	run := &equivalenceRun{t: t, node: newIdleNode(t)}
+	run := &equivalenceRun{t: t, node: newIdleNode(t), collector: &peerSession{proxy: noProxy}}
+	run.node.connect(run.collector)
 	run.writer = simadapterOutput{simwire.NewWriter(&run.nodeOutput), run.node.balancer}
 	return run
 }
@@ -82,7 +84,7 @@
 func (r *equivalenceRun) report(words string) {
 	r.t.Helper()
 	message, err := r.node.decoder.decodeSessionMessage(strings.Fields(words))
-	if err := r.node.handleMessage(&peerSession{proxy: noProxy}, message, err); err != nil {
+	if err := r.node.handleMessage(r.collector, message, err); err != nil {
 		r.t.Fatal(err)
 	}
 }
