Bound the names that messages hold while they wait for the event loop

Up to 1,024 messages wait while the event loop is busy, each with a host name or an unknown kind of up to 1 MiB.

Change: a host name over 1,024 bytes is malformed; 80 bytes of an unknown kind are kept, and the text of its warning is made before it waits.

Test: TestMemoryOfLongNames.

--- a/internal/platform/hostile_peer_test.go
+++ b/internal/platform/hostile_peer_test.go
@@ -194,8 +194,43 @@
 			}()
 			time.Sleep(300 * time.Millisecond)
 			expectPromptService(t, address)
-			t.Logf("%d messages", 20000*receive(t, sent))
+			mustClose(t, flooding)
+			t.Logf("more than %d messages", 20000*receive(t, sent))
 			expectMemoryWithinLimit(t, before)
 		})
 	}
 }
+
+// Guards against a node that is killed for its memory: messages with very long names wait for the event loop.
+func TestMemoryOfLongNames(t *testing.T) {
+	const nameBytes, messages = 400000, 120
+	name := strings.Repeat("x", nameBytes)
+	for kind, message := range map[string]string{
+		"host": "LOAD zone a server " + name + " tries 1 failed 0 mean_ms 1 span_ms 1",
+		"kind": name + " zone a",
+	} {
+		t.Run(kind, func(t *testing.T) { expectMemoryOfQueuedMessages(t, message, messages) })
+	}
+}
+
+// expectMemoryOfQueuedMessages checks the memory while a number of messages waits for the event loop.
+func expectMemoryOfQueuedMessages(t *testing.T, message string, messages int) {
+	t.Helper()
+	before := heapBytes()
+	node, address := startGuardedNode(t)
+	proxy := dial(t, address, subscribeProxy0)
+	waitUntil(t, node, func() bool { return len(node.sessions.active) == 1 })
+	release := make(chan struct{})
+	node.post(func() { <-release })
+	for range messages {
+		proxy.send(message)
+	}
+	proxy.send("PING") // answered once all messages before it wait
+	for answer := ""; answer != "PONG"; {
+		if answer = proxy.read(); answer != "PONG" && !strings.HasPrefix(answer, "CONFIG") {
+			t.Fatalf("read %q, want PONG", answer)
+		}
+	}
+	expectMemoryWithinLimit(t, before)
+	close(release)
+}
--- a/internal/platform/message_decoder.go
+++ b/internal/platform/message_decoder.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 
 	"barleysail/internal/instance"
 	"barleysail/internal/simwire"
@@ -19,6 +20,12 @@
 	maxStamp         = 65535 // limit of the protocol
 	maxWeight        = 1e6   // requests per second
 
+	// maxUnknownKindBytes is how much of an unknown kind is kept for the error text.
+	maxUnknownKindBytes = 80
+
+	// maxHostNameBytes bounds the name of a host in a report, which is kept until the event loop has looked it up.
+	maxHostNameBytes = 1024
+
 	// latencyTolerance bounds a mean latency, as a multiple of the longest deadline: an attempt that took longer than
 	// its deadline would have failed, but reports are noisy.
 	latencyTolerance = 2
@@ -48,7 +55,12 @@
 
 // unknownKindError is the error of a message of a kind that a session may not send.
 type unknownKindError struct {
-	kind string
+	kind string // at most maxUnknownKindBytes of it
+}
+
+// unknownKind returns the error for a kind. It copies the part that it keeps, since a peer may send a very long kind.
+func unknownKind(kind string) error {
+	return &unknownKindError{strings.Clone(kind[:min(len(kind), maxUnknownKindBytes)])}
 }
 
 func (e *unknownKindError) Error() string { return fmt.Sprintf("unknown kind %.20q", e.kind) }
@@ -174,7 +186,7 @@
 	case kindAck:
 		message = d.readAck(reader)
 	default:
-		return nil, &unknownKindError{words[0]}
+		return nil, unknownKind(words[0])
 	}
 	if reader.err != nil {
 		return nil, reader.err
@@ -203,6 +215,9 @@
 		attemptCounts: reader.attemptCounts(),
 		load:          routing.UnknownLoad,
 	}
+	if len(message.host) > maxHostNameBytes {
+		reader.fail(invalidValue(fieldHost, message.host))
+	}
 	if message.failures > message.attempts {
 		problem := fmt.Sprintf("is %d, more than the %d attempts", message.failures, message.attempts)
 		reader.fail(&fieldError{fieldFailures, problem})
--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -170,12 +170,12 @@
 
 // postMessage decodes a message and posts it to the event loop.
 func (n *Node) postMessage(session *peerSession, words []string) {
-	kind := words[0]
+	droppedText := droppedMessageText(words[0])
 	message, decodeErr := n.decoder.decodeSessionMessage(words)
 	n.post(func() {
 		err := n.handleMessage(session, message, decodeErr)
 		if err != nil {
-			n.warnings.warn(droppedMessageText(kind), err)
+			n.warnings.warn(droppedText, err)
 		}
 	})
 }
