Read each session of the node at a bounded pace

On one processor (GOMAXPROCS=1, the flooding client in the same process, one run of seven kinds of messages) another peer's PING was answered after 0.3 to 455 ms, its tables came after 6 to 706 ms.

Cause: a session's messages were read and decoded as fast as they came, and on one processor all other goroutines wait for that.

--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -143,8 +143,10 @@
 }
 
 // readMessages reads the messages of a session until its connection ends, and posts them to the event loop. A malformed
-// message is dropped alone; bytes that are not a message end the session.
+// message is dropped alone; bytes that are not a message end the session. A peer that sends faster than sessionPace is
+// read at that pace.
 func (n *Node) readMessages(reader *resp.Reader, session *peerSession) {
+	pace := newSessionPace()
 	var words []string
 	for {
 		var err error
@@ -160,6 +162,7 @@
 			return
 		}
 		session.lastReadMs.Store(int64(n.clock.Now()))
+		pace.wait(words)
 		if isPing(words) {
 			session.enqueue(pongMessage)
 		} else if len(words) > 0 {
