Bound the memory of the HTTP server's requests together

Cause: bodies were allocated by their announced length, limits held for each connection and none for all, and the number of fields was unbounded.

Change: requests reserve memory in a budget of the server as they arrive; without it they are answered with 503 and Retry-After. 128 header fields at most. serveRequest is split by its steps, and bodies have a file.

The node's flood test waits without a sleep.

--- /dev/null
+++ b/internal/http1/hostile_client_test.go
@@ -0,0 +1,124 @@
+package http1
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	hostileClients = 300
+	measureEvery   = 20 // clients
+
+	// testMemoryBytes is the memory for requests of the servers of these tests.
+	testMemoryBytes = 16 << 20
+
+	// memoryAllowance is the memory that connections may use besides: stacks, buffers and small requests.
+	memoryAllowance = hostileClients * 64 << 10
+
+	// floodReplyBytes is how much of the replies to a flood is read before the others' replies are timed.
+	floodReplyBytes = 1 << 20
+
+	// promptReply bounds the wait of a well-behaved client beside hostile ones.
+	promptReply = time.Second
+
+	testTimeout = 10 * time.Second
+)
+
+// heapBytes returns the memory that is in use, without garbage.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
+
+// expectPromptReply checks that a client on a new connection gets a reply within promptReply.
+func expectPromptReply(t *testing.T, server *testServer) {
+	t.Helper()
+	conn := dial(t, server.addr)
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(testTimeout))
+	began := time.Now()
+	io.WriteString(conn, "GET /page HTTP/1.1\r\nHost: a\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	took := time.Since(began)
+	t.Logf("reply after %v", took)
+	if err != nil || response.StatusCode != 200 || took > promptReply {
+		t.Errorf("reply %v, error %v after %v, want status 200 within %v", response, err, took, promptReply)
+	}
+}
+
+// Guards against a process that is killed for its memory: hundreds of clients stop half way through a large request, only
+// announce it, or send very many short header fields.
+func TestMemoryOfUnfinishedRequests(t *testing.T) {
+	post := "POST /echo/x HTTP/1.1\r\nHost: a\r\nContent-Type: text/plain\r\n"
+	var fields strings.Builder
+	for i := 0; fields.Len() < 31<<10; i++ {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	for name, request := range map[string]string{
+		"announced body": post + "Content-Length: 4000000\r\n\r\n",
+		"half a body":    post + "Content-Length: 4000000\r\n\r\n" + strings.Repeat("x", 2000000),
+		"half a chunk":   post + "Transfer-Encoding: chunked\r\n\r\n200000\r\n" + strings.Repeat("x", 2000000),
+		"short fields":   post + fields.String(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := heapBytes()
+			server := startServer(t, Config{MemoryBytes: testMemoryBytes})
+			used := int64(0)
+			for i := range hostileClients {
+				conn := dial(t, server.addr)
+				defer conn.Close()
+				conn.SetWriteDeadline(time.Now().Add(testTimeout))
+				io.WriteString(conn, request)
+				if i%measureEvery == measureEvery-1 {
+					used = max(used, heapBytes()-before)
+				}
+			}
+			t.Logf("%.1f MB in use at the most", float64(used)/(1<<20))
+			if used > testMemoryBytes+memoryAllowance {
+				t.Errorf("%d bytes are in use, want at most %d", used, testMemoryBytes+memoryAllowance)
+			}
+			expectPromptReply(t, server)
+		})
+	}
+}
+
+// One client sends small or unsound requests on one connection at full speed. Others must be served as promptly.
+func TestPromptReplyBesideFlood(t *testing.T) {
+	for name, request := range map[string]string{
+		"pages":       "GET /page HTTP/1.1\r\nHost: a\r\n\r\n",
+		"not found":   "GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n",
+		"empty posts": "POST /echo/x HTTP/1.1\r\nHost: a\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startServer(t, Config{})
+			conn := dial(t, server.addr)
+			flooded := make(chan struct{})
+			go func() {
+				io.CopyN(io.Discard, conn, floodReplyBytes)
+				close(flooded)
+				io.Copy(io.Discard, conn)
+			}()
+			go func() {
+				requests := []byte(strings.Repeat(request, 1000))
+				for {
+					if _, err := conn.Write(requests); err != nil {
+						return
+					}
+				}
+			}()
+			<-flooded
+			for range 10 {
+				expectPromptReply(t, server)
+			}
+			conn.Close()
+		})
+	}
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -118,10 +117,13 @@
 }
 
 // messageReader reads messages from a connection.
-type messageReader struct{ buf *bufio.Reader }
+type messageReader struct {
+	buf    *bufio.Reader
+	memory *requestMemory // nil: memory is not bounded
+}
 
 func newMessageReader(r io.Reader) *messageReader {
-	return &messageReader{bufio.NewReaderSize(r, bufferBytes)}
+	return &messageReader{buf: bufio.NewReaderSize(r, bufferBytes)}
 }
 
 // readLine reads a line of at most maxBytes. A longer one is an error with the status code tooLongStatus. A bare LF
@@ -155,7 +157,7 @@
 // readHeader reads field lines up to and including the empty line.
 func (r *messageReader) readHeader(limits Limits) (textproto.MIMEHeader, error) {
 	header, total := textproto.MIMEHeader{}, 0
-	for {
+	for fields := 0; ; fields++ {
 		line, err := r.readLine(limits.LineBytes, 431)
 		if err != nil {
 			return nil, err
@@ -166,6 +168,12 @@
 		if total += len(line) + 2; total > limits.HeaderBytes {
 			return nil, invalidMessage(431, "the header is longer than %d bytes", limits.HeaderBytes)
 		}
+		if fields == maxHeaderFields {
+			return nil, invalidMessage(431, "the header has more than %d fields", maxHeaderFields)
+		}
+		if err := r.memory.reserve(len(line) + headerFieldOverhead); err != nil {
+			return nil, err
+		}
 		if line[0] == ' ' || line[0] == '\t' {
 			return nil, invalidMessage(400, "obs-fold: a field line begins with white space")
 		}
@@ -238,49 +246,6 @@
 	return length, nil
 }
 
-// readBody reads a body of the given length, or a chunked one with its trailer section.
-func (r *messageReader) readBody(length int64, limits Limits) ([]byte, error) {
-	if length >= 0 {
-		if length > limits.BodyBytes {
-			return nil, invalidMessage(413, "a body of %d bytes, %d at most", length, limits.BodyBytes)
-		}
-		body := make([]byte, length)
-		if _, err := io.ReadFull(r.buf, body); err != nil {
-			return nil, fmt.Errorf("reading the body: %w", err)
-		}
-		return body, nil
-	}
-	var body bytes.Buffer
-	for {
-		line, err := r.readLine(limits.LineBytes, 400)
-		if err != nil {
-			return nil, fmt.Errorf("reading a chunk's size: %w", err)
-		}
-		digits, _, _ := strings.Cut(line, ";") // chunk extensions are ignored
-		digits = strings.TrimRight(digits, " \t")
-		size, err := strconv.ParseUint(digits, 16, 63)
-		if err != nil {
-			return nil, invalidMessage(400, "%.40q is no chunk size", line)
-		}
-		if size == 0 {
-			break
-		}
-		if int64(size) > limits.BodyBytes-int64(body.Len()) {
-			return nil, invalidMessage(413, "a body of more than %d bytes", limits.BodyBytes)
-		}
-		if _, err := io.CopyN(&body, r.buf, int64(size)); err != nil {
-			return nil, fmt.Errorf("reading a chunk: %w", err)
-		}
-		if end, err := r.readLine(2, 400); err != nil || end != "" {
-			return nil, invalidMessage(400, "a chunk is longer than its size")
-		}
-	}
-	if _, err := r.readHeader(limits); err != nil { // trailer fields are discarded
-		return nil, err
-	}
-	return body.Bytes(), nil
-}
-
 // knownMethods are the standard methods; others get 501 Not Implemented (RFC 9110, section 9.1).
 var knownMethods = map[string]bool{"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true,
 	"OPTIONS": true, "TRACE": true, "CONNECT": true}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // Defaults of Config and TLSOptions.
@@ -27,6 +29,10 @@
 	defaultBodyBytes        = 4 << 20
 	defaultHandshakeTimeout = 5 * time.Second
 	defaultMaxHandshakes    = 32
+
+	// defaultMemoryBytes is the least default of Config.MemoryBytes. It is more where a body may be so large that one
+	// request needs more.
+	defaultMemoryBytes = 64 << 20
 )
 
 const (
@@ -49,6 +55,7 @@
 	IdleTimeout   time.Duration // between requests: 2 min
 	WriteTimeout  time.Duration // for a reply: 10 s
 	MaxConns      int           // open connections: 20,000
+	MemoryBytes   int64         // of all requests together, while they are read and handled: see defaultMemoryBytes
 	TLS           *TLSOptions   // nil: connections are plain
 	Now           func() time.Time
 }
@@ -92,6 +99,9 @@
 	if c.BodyBytes == 0 {
 		c.BodyBytes = defaultBodyBytes
 	}
+	if c.MemoryBytes == 0 {
+		c.MemoryBytes = max(defaultMemoryBytes, memoryPerBodyByte*(c.BodyBytes+int64(c.HeaderBytes)))
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -117,13 +127,15 @@
 	closing          bool
 	connsDone        sync.WaitGroup // counts the open connections
 
-	readers, writers sync.Pool     // *messageReader and *bufio.Writer
-	handshakeSlots   chan struct{} // holds an element for each handshake in progress
+	readers, writers sync.Pool           // *messageReader and *bufio.Writer
+	memory           *semaphore.Weighted // bytes of requests
+	handshakeSlots   chan struct{}       // holds an element for each handshake in progress
 }
 
 // NewServer returns a server for the routes of a mux.
 func NewServer(mux *Mux, config Config) *Server {
 	s := &Server{config: config.withDefaults(), mux: mux, conns: map[*conn]bool{}}
+	s.memory = semaphore.NewWeighted(s.config.MemoryBytes)
 	if options := s.config.TLS; options != nil {
 		s.handshakeSlots = make(chan struct{}, options.MaxHandshakes)
 	}
@@ -321,7 +333,11 @@
 		if !c.serveRequest() {
 			return
 		}
-		if c.reader != nil && c.reader.buf.Buffered() == 0 {
+		if c.reader == nil {
+			continue
+		}
+		c.reader.memory.release()
+		if c.reader.buf.Buffered() == 0 {
 			c.releaseReader()
 		}
 	}
@@ -333,11 +349,14 @@
 	reader := c.server.readers.Get().(*messageReader)
 	reader.buf.Reset(io.MultiReader(strings.NewReader(string([]byte{firstByte})), c))
 	reader.buf.Peek(1) // fills the buffer, so that Buffered counts the byte
+	reader.memory = newRequestMemory(c.server.memory)
 	c.reader = reader
 }
 
 func (c *conn) releaseReader() {
 	if c.reader != nil {
+		c.reader.memory.release()
+		c.reader.memory = nil
 		c.reader.buf.Reset(nil)
 		c.server.readers.Put(c.reader)
 		c.reader = nil
@@ -374,43 +393,81 @@
 		return c.rejectRequest(request, reply)
 	}
 	route, rejection := c.server.mux.find(request)
+	if rejection == nil {
+		rejection = c.checkBody(request, route)
+	}
 	if rejection != nil {
 		return c.rejectRequest(request, *rejection)
 	}
-	limits := config.Limits
+	if !c.readBody(request, route) {
+		return false
+	}
+	return c.handle(request, route)
+}
+
+// maxBodyBytes returns the limit of a route's bodies.
+func (c *conn) maxBodyBytes(route Route) int64 {
 	if route.MaxBodyBytes > 0 {
-		limits.BodyBytes = route.MaxBodyBytes
+		return route.MaxBodyBytes
 	}
-	if request.bodyLength != 0 {
-		if request.bodyLength > limits.BodyBytes {
-			problem := Problem{
-				Status: 413,
-				Detail: "the body may have " + strconv.FormatInt(limits.BodyBytes, 10) + " bytes",
-			}
-			return c.rejectRequest(request, problem.Reply())
-		}
-		if len(route.MediaTypes) > 0 && !slices.Contains(route.MediaTypes, mediaType(request.Header)) {
-			problem := Problem{Status: 415, Detail: "the body may be " + strings.Join(route.MediaTypes, " or ")}
-			return c.rejectRequest(request, problem.Reply("Accept", strings.Join(route.MediaTypes, ", ")))
-		}
-		if coding := request.Header.Get("Content-Encoding"); coding != "" && coding != "identity" {
-			problem := Problem{Status: 415, Detail: "no content coding is known"}
-			return c.rejectRequest(request, problem.Reply("Accept-Encoding", "identity"))
-		}
-		if request.expectsContinue {
-			c.netConn.SetWriteDeadline(time.Now().Add(config.WriteTimeout))
-			if _, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-				return false
-			}
-		}
-		c.setReadTimeout(config.BodyTimeout)
-		if request.Body, err = c.reader.readBody(request.bodyLength, limits); err != nil {
-			c.replyToReadError(err)
+	return c.server.config.BodyBytes
+}
+
+// checkBody returns the reply that rejects a request for the length or the type of its body, nil if they are allowed.
+func (c *conn) checkBody(request *Request, route Route) *Reply {
+	if request.bodyLength == 0 {
+		return nil
+	}
+	var reply Reply
+	coding := request.Header.Get("Content-Encoding")
+	mediaTypes := route.MediaTypes
+	switch maxBytes := c.maxBodyBytes(route); {
+	case request.bodyLength > maxBytes:
+		detail := "the body may have " + strconv.FormatInt(maxBytes, 10) + " bytes"
+		reply = Problem{Status: 413, Detail: detail}.Reply()
+	case len(mediaTypes) > 0 && !slices.Contains(mediaTypes, mediaType(request.Header)):
+		problem := Problem{Status: 415, Detail: "the body may be " + strings.Join(mediaTypes, " or ")}
+		reply = problem.Reply("Accept", strings.Join(mediaTypes, ", "))
+	case coding != "" && coding != "identity":
+		problem := Problem{Status: 415, Detail: "no content coding is known"}
+		reply = problem.Reply("Accept-Encoding", "identity")
+	default:
+		return nil
+	}
+	return &reply
+}
+
+// readBody reads the body of a request, and reports whether it could. If not, the sender got a reply where possible.
+func (c *conn) readBody(request *Request, route Route) bool {
+	if request.bodyLength == 0 {
+		return true
+	}
+	config := &c.server.config
+	if request.expectsContinue {
+		c.netConn.SetWriteDeadline(time.Now().Add(config.WriteTimeout))
+		if _, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return false
 		}
 	}
+	limits := config.Limits
+	limits.BodyBytes = c.maxBodyBytes(route)
+	c.setReadTimeout(config.BodyTimeout)
+	var err error
+	if request.Body, err = c.reader.readBody(request.bodyLength, limits); err != nil {
+		c.replyToReadError(err)
+		return false
+	}
+	return true
+}
+
+// handle calls the handler of a request and writes the reply. It returns whether the connection can be used for another
+// request.
+func (c *conn) handle(request *Request, route Route) bool {
 	reply := route.Handler(request)
+	request.Body = nil
+	c.reader.memory.release()
 	if reply.Held != nil {
+		var err error
 		if reply, err = c.awaitReply(reply.Held); err != nil {
 			return false
 		}
@@ -450,6 +507,9 @@
 		return
 	}
 	reply := problem.Reply()
+	if problem.Status == 503 {
+		reply.Header.Set("Retry-After", "1")
+	}
 	reply.Close = true
 	c.write(nil, reply)
 	c.linger()
--- a/internal/platform/hostile_peer_test.go
+++ b/internal/platform/hostile_peer_test.go
@@ -181,21 +181,21 @@
 				messages = resp.Append(messages, strings.Fields(message(i))...)
 			}
 			ended := time.Now().Add(time.Second)
-			sent := make(chan int)
+			sent := make(chan int, 1000)
 			go func() {
-				rounds := 0
-				for time.Now().Before(ended) {
+				defer close(sent)
+				for rounds := 1; time.Now().Before(ended); rounds++ {
 					if _, err := flooding.Write(messages); err != nil {
-						break
+						return
 					}
-					rounds++
+					sent <- rounds
 				}
-				sent <- rounds
 			}()
-			time.Sleep(300 * time.Millisecond)
+			receive(t, sent)
 			expectPromptService(t, address)
 			mustClose(t, flooding)
-			t.Logf("more than %d messages", 20000*receive(t, sent))
+			for range sent { // until the writer has ended
+			}
 			expectMemoryWithinLimit(t, before)
 		})
 	}
