Drop pipelined HTTP requests once their client has left

Commands pipelined behind a long poll were carried out when the poll was answered, up to a minute later.

Cause: the end of a connection is seen only after all bytes before it, and the first reply to a closed connection still succeeds.

A single request of a client that closes its side is answered as before.

--- a/internal/http1/held.go
+++ b/internal/http1/held.go
@@ -40,9 +40,12 @@
 	}
 }
 
-// awaitReply waits for the reply to a held request and detects in the meantime that the peer disconnects. If the peer
-// sends another request, its first byte is buffered, and from then on a disconnect is not detected until the reply is
-// written.
+// departureCheckInterval is the time between two checks whether the peer of a held request has left, where it has sent so
+// much behind the request that no more is read.
+const departureCheckInterval = time.Second
+
+// awaitReply waits for the reply to a held request and detects in the meantime that the peer disconnects. Up to a buffer
+// of what the peer sends behind the request is read meanwhile.
 func (c *conn) awaitReply(h *HeldRequest) (Reply, error) {
 	h.mu.Lock()
 	ready := h.reply != nil
@@ -51,20 +54,60 @@
 		c.netConn.SetReadDeadline(time.Time{})
 	}
 	h.mu.Unlock()
-	if !ready && c.reader.buf.Buffered() == 0 {
-		c.releaseReader()
-		var firstByte [1]byte
-		n, err := c.netConn.Read(firstByte[:])
-		if n > 0 {
-			c.attachReader(firstByte[0])
-		} else if timeout := net.Error(nil); !errors.As(err, &timeout) || !timeout.Timeout() {
+	if !ready {
+		if err := c.awaitAnswer(h); err != nil {
 			h.onDisconnect()
 			return Reply{}, err
 		}
 	}
-	<-h.answered
 	h.mu.Lock()
 	h.awaited = false
 	h.mu.Unlock()
 	return *h.reply, nil
 }
+
+// awaitAnswer waits until a held request is answered, or the peer disconnects: then it returns an error.
+func (c *conn) awaitAnswer(h *HeldRequest) error {
+	if err := c.readWhileHeld(); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-h.answered:
+			return nil
+		case <-time.After(departureCheckInterval):
+		}
+		if peerHasClosed(c.netConn) {
+			return net.ErrClosed
+		}
+	}
+}
+
+// readWhileHeld reads until the buffer is full, or HeldRequest.Answer or Server.Shutdown ends the reads by a timeout. It
+// returns an error if the peer disconnects before.
+func (c *conn) readWhileHeld() error {
+	if c.reader.buf.Buffered() == 0 {
+		c.releaseReader()
+		var firstByte [1]byte
+		n, err := c.netConn.Read(firstByte[:])
+		if n == 0 {
+			return errUnlessTimeout(err)
+		}
+		c.attachReader(firstByte[0])
+	}
+	for buffered := c.reader.buf.Buffered(); buffered < c.reader.buf.Size(); buffered = c.reader.buf.Buffered() {
+		if _, err := c.reader.buf.Peek(buffered + 1); err != nil {
+			return errUnlessTimeout(err)
+		}
+	}
+	return nil
+}
+
+// errUnlessTimeout returns the error of a read, nil for a timeout.
+func errUnlessTimeout(err error) error {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return nil
+	}
+	return err
+}
--- a/internal/http1/hostile_client_test.go
+++ b/internal/http1/hostile_client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -122,3 +123,71 @@
 		})
 	}
 }
+
+// Guards against requests that are handled after their client has left: they were pipelined behind another one, which
+// is held or takes its time.
+func TestPipelinedRequestsOfClosedConnection(t *testing.T) {
+	for _, first := range []string{"/held", "/slow"} {
+		t.Run(first, func(t *testing.T) {
+			server, release, handled := startSlowServer(t)
+			conn := dial(t, server.addr)
+			pipelined := strings.Repeat("POST /count HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 200)
+			io.WriteString(conn, "GET "+first+" HTTP/1.1\r\nHost: a\r\n\r\n"+pipelined)
+			release(conn)
+			waitFor(t, "the connection ends", func() bool { return server.OpenConnections() == 0 })
+			if got := len(handled); got != 0 {
+				t.Errorf("%d requests were handled after their client had left, want none", got)
+			}
+		})
+	}
+}
+
+// startSlowServer starts a server whose requests for /held and /slow are answered only once their client has closed its
+// connection: release closes the connection and then has them answered. handled gets an element for each request
+// for /count.
+func startSlowServer(t *testing.T) (server *testServer, release func(net.Conn), handled chan struct{}) {
+	handled = make(chan struct{}, 1000)
+	slow := make(chan struct{})
+	arrived := make(chan *HeldRequest, 1)
+	server = startServer(t, Config{})
+	server.mux.Handle("POST", "/count", Route{Handler: func(*Request) Reply {
+		handled <- struct{}{}
+		return Reply{Status: 204}
+	}})
+	server.mux.Handle("GET", "/slow", Route{Handler: func(*Request) Reply {
+		arrived <- nil
+		<-slow
+		return Reply{Status: 204}
+	}})
+	server.mux.Handle("GET", "/held", Route{Handler: func(request *Request) Reply {
+		held := request.Hold(func() {})
+		arrived <- held
+		return Reply{Held: held}
+	}})
+	release = func(conn net.Conn) {
+		held := <-arrived
+		conn.Close()
+		waitFor(t, "the server's end knows that the client has left", func() bool {
+			server.mu.Lock()
+			defer server.mu.Unlock()
+			for served := range server.conns {
+				return peerHasClosed(served.netConn)
+			}
+			return true
+		})
+		close(slow)
+		if held != nil {
+			held.Answer(Reply{Status: 204})
+		}
+	}
+	return server, release, handled
+}
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timeout: want that %s", what)
+		}
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -339,6 +339,8 @@
 		c.reader.memory.release()
 		if c.reader.buf.Buffered() == 0 {
 			c.releaseReader()
+		} else if peerHasClosed(c.netConn) { // requests that a client has pipelined are not handled once it has left
+			return
 		}
 	}
 }
