Keep accepting HTTP connections after a lack of file descriptors

Callers saw: with hundreds of clients connected a process has no free descriptor for a while; after two seconds of that the daemon's API never accepts a connection again.

Cause: Serve gave up once its backoff had grown to a second, and the daemon went on without its listener.

Change: a failed accept is retried until the listener is closed, and reported by Config.AcceptError, which the daemon logs.

Test: TestServeAfterLackOfDescriptors on a scripted clock.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -220,6 +220,7 @@
 		WriteTimeout:  milliseconds(*settings.WriteMs),
 		MaxConns:      int(*settings.Connections),
 		TLS:           secure,
+		AcceptError:   func(err error) { d.log.Warn().Err(err).Msg("accepting a connection failed") },
 	})
 	d.servers.Go(func() {
 		if err := d.server.Serve(d.listener); err != nil {
--- a/internal/http1/hostile_client_test.go
+++ b/internal/http1/hostile_client_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -191,3 +193,34 @@
 		}
 	}
 }
+
+// failingListener fails to accept, as in a process without free file descriptors, until it is closed.
+type failingListener struct {
+	net.Listener
+	failures int // left until the listener is closed
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures == 0 {
+		return nil, net.ErrClosed
+	}
+	l.failures--
+	return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+}
+
+// Guards against a server that stops accepting connections for good once its process had no free file descriptor for
+// some seconds.
+func TestServeAfterLackOfDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const failures = 100
+		reported := 0
+		server := NewServer(&Mux{}, Config{AcceptError: func(error) { reported++ }})
+		listener := &failingListener{failures: failures}
+		if err := server.Serve(listener); err != nil || listener.failures != 0 {
+			t.Errorf("Serve ended with error %v, %d failures before the listener was closed", err, listener.failures)
+		}
+		if reported != failures {
+			t.Errorf("%d errors reported, want %d", reported, failures)
+		}
+	})
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -37,7 +36,7 @@
 
 const (
 	minAcceptBackoff = 5 * time.Millisecond // after a failed accept, doubled up to maxAcceptBackoff
-	maxAcceptBackoff = time.Second          // Serve gives up at this backoff
+	maxAcceptBackoff = time.Second
 
 	lingerTimeout = 500 * time.Millisecond // time for which a connection is read after an error reply
 	lingerBytes   = 256 << 10              // bytes that are read in that time at most
@@ -58,6 +57,7 @@
 	MemoryBytes   int64         // of all requests together, while they are read and handled: see defaultMemoryBytes
 	TLS           *TLSOptions   // nil: connections are plain
 	Now           func() time.Time
+	AcceptError   func(error) // called for each failed accept; nil: they are ignored
 }
 
 // TLSOptions configure a server whose connections are encrypted and authenticated.
@@ -144,23 +144,21 @@
 	return s
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed. A failed accept is retried with a backoff: most likely there
+// are no file descriptors left until connections are closed.
 func (s *Server) Serve(listener net.Listener) error {
 	backoff := time.Duration(0)
 	for {
 		netConn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, os.ErrDeadlineExceeded) {
-				continue
-			}
-			if backoff = min(max(2*backoff, minAcceptBackoff), maxAcceptBackoff); backoff == maxAcceptBackoff {
-				return err
+			if s.config.AcceptError != nil {
+				s.config.AcceptError(err)
 			}
-			time.Sleep(backoff) // most likely there are no file descriptors left until connections are closed
+			backoff = min(max(2*backoff, minAcceptBackoff), maxAcceptBackoff)
+			time.Sleep(backoff)
 			continue
 		}
 		backoff = 0
