Free runtime sockets from idle, unreading and departed clients

Cause: connections above the limit waited for others to end; the write deadline covered only the last flush of a line, and errors of writes were looked at only after it; Serve returned with the first failed accept.

Change: the longest idle connection, of a second at least, gives way; each write has the deadline; each answer is flushed before the next command; accepts are retried and reported.

Tests, before: TestIdleConnectionsGiveWay 3 min for 3 s allowed, TestUnreadAnswerEndsConnection open after 20 s with a timeout of 10 s, TestCommandsOfClosedConnection 50 commands for 1, and TestAcceptAfterLackOfDescriptors no answer. TestServeReportsFailedAccept asked for the fault itself, that Serve ends: now it asks that each failed accept is reported and that Serve ends only with its listener.

--- a/internal/daemon/runtime_sockets.go
+++ b/internal/daemon/runtime_sockets.go
@@ -28,7 +28,11 @@
 			return fmt.Errorf("opening the runtime socket: %w", err)
 		}
 		level, _ := runtimeapi.ParseLevel(settings.Level) // the level is known: the configuration was validated
-		server := runtimeapi.New(d.Operators(), runtimeapi.Config{Level: level, Version: d.version})
+		server := runtimeapi.New(d.Operators(), runtimeapi.Config{
+			Level:       level,
+			Version:     d.version,
+			AcceptError: func(err error) { d.log.Warn().Err(err).Msg("accepting a runtime connection failed") },
+		})
 		d.runtimeSockets = append(d.runtimeSockets, runtimeSocket{listener, server})
 		d.servers.Go(func() {
 			if err := server.Serve(listener); err != nil {
--- a/internal/runtimeapi/session.go
+++ b/internal/runtimeapi/session.go
@@ -32,7 +32,9 @@
 func (s *session) serve() {
 	for !s.ended {
 		s.extendReadDeadline()
+		s.server.setIdleSince(s.conn, time.Now())
 		line, err := s.readLine()
+		s.server.setIdleSince(s.conn, time.Time{})
 		if errors.Is(err, bufio.ErrBufferFull) {
 			s.answer(tooLongAnswer)
 			_ = s.output.Flush() // the connection ends in any case
@@ -67,10 +69,19 @@
 // write buffers text. It ignores the error: a bufio.Writer keeps it, and flush returns it.
 func (s *session) write(text string) { _, _ = s.output.WriteString(text) }
 
-func (s *session) flush() error {
+func (s *session) flush() error { return s.output.Flush() }
+
+// deadlineWriter writes to a connection with a timeout for each write, so that a client that reads nothing does not hold
+// its connection.
+type deadlineWriter struct {
+	conn    net.Conn
+	timeout time.Duration
+}
+
+func (w *deadlineWriter) Write(text []byte) (int, error) {
 	// A connection that is closed fails in the write that follows.
-	_ = s.conn.SetWriteDeadline(time.Now().Add(s.server.config.WriteTimeout))
-	return s.output.Flush()
+	_ = w.conn.SetWriteDeadline(time.Now().Add(w.timeout))
+	return w.conn.Write(text)
 }
 
 // answer writes the answer to a command. An empty line ends each answer.
@@ -103,6 +114,8 @@
 			words = append(words, payload)
 		}
 		s.runCommand(words, text)
+		// The client may have left: no further command may run then.
+		s.ended = s.flush() != nil || s.ended
 		if s.ended {
 			return
 		}
