Remember the senders of reports of proxies that have disconnected

A proxy's report was counted again when it was repeated after the proxy had left and connected again.

Cause: the sequence numbers were part of the session and went with it.

A sender without a name may begin at 1 again, so those are not remembered.

--- a/controller/sessions.go
+++ b/controller/sessions.go
@@ -51,10 +51,15 @@
 	lastVersion  int64           // number of the newest version of any proxy
 	pendingPolls int
 	checks       deadlinequeue.Queue[string] // proxies, by checkAtMs of their sessions
+	departed     departedReporters
 }
 
 func newSessionStore() sessionStore {
-	return sessionStore{byProxy: map[string]*proxySession{}, indices: interner.New()}
+	return sessionStore{
+		byProxy:  map[string]*proxySession{},
+		indices:  interner.New(),
+		departed: newDepartedReporters(),
+	}
 }
 
 // scheduleCheck schedules a check of a session by expirePolls, unless an earlier one is scheduled already. This keeps
@@ -108,6 +113,7 @@
 // connect starts the session of a proxy. requestRate is its usual request rate in requests per second, 0 if not known.
 func (c *Controller) connect(proxy string, zone int, requestRate float64) *proxySession {
 	session := c.sessions.add(proxy, zone, len(c.classes))
+	session.reporters = c.sessions.departed.take(c.nowMs, proxy)
 	c.balancer.ConnectProxy(session.index, zone, requestRate)
 	c.recordEvent(eventConnected, proxy+" of "+c.deployment.Zones[zone])
 	c.requestRound()
@@ -131,6 +137,7 @@
 	}
 	c.channel.dropMessages(session)
 	c.ingest.queue.DropSource(session.proxy)
+	c.sessions.departed.add(c.nowMs, session.proxy, &session.reporters, c.nowMs+c.ingest.limits.MaxAgeMs)
 	c.recordEvent(eventDisconnected, session.proxy)
 	c.balancer.DisconnectProxy(session.index)
 	c.balancer.ForgetProxy(session.index)
--- a/intake/reporters.go
+++ b/intake/reporters.go
@@ -49,6 +49,15 @@
 	return true
 }
 
+// Identified returns the reporters that have an id.
+func (r *Reporters) Identified() Reporters {
+	isAnonymous := func(known reporter) bool { return known.id == "" }
+	return Reporters{recent: slices.DeleteFunc(slices.Clone(r.recent), isAnonymous)}
+}
+
+// Empty reports whether no reporter is known.
+func (r *Reporters) Empty() bool { return len(r.recent) == 0 }
+
 // HasDuplicate reports whether two reporters used the same name within the last duplicateWindowMs.
 func (r *Reporters) HasDuplicate(nowMs float64) bool {
 	return r.duplicateSeenMs > 0 && nowMs-r.duplicateSeenMs < duplicateWindowMs
