Keep reports under unknown names away from the rate limiter

Cause: the rate limiter keeps state for each name, and was given names before the controller looked for their proxy or host.

Change: unknown sources are rejected first (409 and 404 as before). A pending poll does not keep its cached tables.

--- a/controller/sessions.go
+++ b/controller/sessions.go
@@ -120,6 +120,9 @@
 	return session
 }
 
+// HasProxy reports whether a proxy has a session.
+func (c *Controller) HasProxy(proxy string) bool { return c.sessions.byProxy[proxy] != nil }
+
 // Disconnect ends the session of a proxy, and reports whether it had one. A pending poll gets its response.
 func (c *Controller) Disconnect(nowMs float64, proxy string, effects Effects) bool {
 	c.nowMs = nowMs
--- a/intake/rate_limiter.go
+++ b/intake/rate_limiter.go
@@ -41,7 +41,8 @@
 // RateLimiter admits or rejects requests with reports before their bodies are read. Each source has its own token
 // bucket. Of the total rate, [guaranteedFraction] is guaranteed to the sources in equal parts, and the rest is shared
 // first come, first served, so that a source that floods the controller never uses the rate that is guaranteed to
-// another one. It is safe for concurrent use.
+// another one. The caller must only pass sources that may report: with ever new names a sender would use up the memory,
+// and the rates that are guaranteed to others. It is safe for concurrent use.
 type RateLimiter struct {
 	mu              sync.Mutex
 	limits          RateLimits
@@ -76,6 +77,13 @@
 // burstFor returns the capacity of a token bucket: the tokens of one second, and at least minBurst.
 func burstFor(perSecond float64) int { return int(math.Max(perSecond, minBurst)) }
 
+// Knows reports whether a source has sent a request within sourceIdleTimeout.
+func (l *RateLimiter) Knows(sourceName string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sources[sourceName] != nil
+}
+
 // Allow reports whether a source may send a request with the given number of reports now. If not, it returns the
 // Retry-After of the rejection.
 func (l *RateLimiter) Allow(now time.Time, sourceName string, reports int) (ok bool, retryAfter time.Duration) {
--- a/internal/daemon/controller_inputs.go
+++ b/internal/daemon/controller_inputs.go
@@ -66,6 +66,20 @@
 	return connected
 }
 
+// hasProxy reports whether a proxy has a session. It runs no other work of the controller.
+func (l *controllerLoop) hasProxy(proxy string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.controller.HasProxy(proxy)
+}
+
+// hasEndpoint reports whether a host is on the endpoint list. It runs no other work of the controller.
+func (l *controllerLoop) hasEndpoint(host string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.controller.HasEndpoint(host)
+}
+
 // observeProxyStats passes a proxy's request stats to the controller. counted is false for a report that is repeated or
 // older than one that was counted. The error is errStopping, or that of controller.Controller.ObserveProxyStats.
 func (l *controllerLoop) observeProxyStats(proxy string, stats controller.ProxyStats) (counted bool, err error) {
--- a/internal/daemon/load_reports.go
+++ b/internal/daemon/load_reports.go
@@ -65,6 +65,10 @@
 // postProxyStats handles a proxy's report.
 func (a *api) postProxyStats(request *http1.Request) http1.Reply {
 	proxy := request.Params["proxy"]
+	isKnown := func() bool { return a.loop.hasProxy(proxy) }
+	if !a.isReporter(proxy, isKnown) {
+		return errorReply(controller.ErrNotConnected)
+	}
 	if rejection := a.admitReport(proxy, request); rejection != nil {
 		return *rejection
 	}
@@ -83,6 +87,10 @@
 func (a *api) postLoadReport(request *http1.Request) http1.Reply {
 	host := request.Params["host"]
 	source := "/" + host // differs from each proxy's name, which has no slash
+	isKnown := func() bool { return a.loop.hasEndpoint(host) }
+	if !a.isReporter(source, isKnown) {
+		return errorReply(controller.ErrUnknownHost)
+	}
 	if rejection := a.admitReport(source, request); rejection != nil {
 		return *rejection
 	}
@@ -102,6 +110,12 @@
 	return jsonReply(receiptBody{Counted: counted, Sequence: body.Sequence})
 }
 
+// isReporter reports whether a source may report: it has reported lately, or the controller knows it. The rate limiter
+// gets no other source, since it keeps state for each.
+func (a *api) isReporter(source string, isKnown func() bool) bool {
+	return a.loop.rateLimiter.Knows(source) || isKnown()
+}
+
 // admitReport asks the rate limiter whether to admit a report. It returns nil if so, and the reply with status 429 and
 // Retry-After otherwise.
 func (a *api) admitReport(source string, request *http1.Request) *http1.Reply {
--- a/internal/daemon/table_polls.go
+++ b/internal/daemon/table_polls.go
@@ -48,7 +48,8 @@
 func (a *api) startPoll(request *http1.Request, poll controller.PollRequest) http1.Reply {
 	seconds, preferred := preferredWait(request.Header)
 	var id int64
-	held := request.Hold(func() { a.loop.cancelPoll(poll.Proxy, id) })
+	proxy := poll.Proxy // the pending request must not keep the cached tables of the poll
+	held := request.Hold(func() { a.loop.cancelPoll(proxy, id) })
 	deliver := func(response controller.Response) {
 		// The connection's goroutine encodes the body, so that responses to many proxies do not delay the controller.
 		held.Answer(http1.Reply{Build: func() http1.Reply {
