Release the slot of a TLS handshake while it waits for its peer

With two handshakes at once, a timeout of 10 s and 20 such clients, another client has no reply after 20 s.

Cause: slots bound the processor time, but were held during reads too.

Change: reads of the handshake release the slot; the timeout bounds the reads together. The code has a file of its own.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -64,8 +64,8 @@
 type TLSOptions struct {
 	Config           *tls.Config
 	Authenticate     func(tls.ConnectionState) (Peer, error) // called after the handshake; an error closes the connection
-	MaxHandshakes    int                                     // concurrent handshakes; 0: 32
-	HandshakeTimeout time.Duration                           // without the wait for a free slot; 0: 5 s
+	MaxHandshakes    int                                     // handshakes that are processed at once; 0: 32
+	HandshakeTimeout time.Duration                           // for what the peer sends in the handshake; 0: 5 s
 }
 
 // Peer is the authenticated client of a connection.
@@ -129,7 +129,7 @@
 
 	readers, writers sync.Pool           // *messageReader and *bufio.Writer
 	memory           *semaphore.Weighted // bytes of requests
-	handshakeSlots   chan struct{}       // holds an element for each handshake in progress
+	handshakeSlots   chan struct{}       // holds an element for each handshake that is processed
 }
 
 // NewServer returns a server for the routes of a mux.
@@ -255,33 +255,6 @@
 	retireAt time.Time      // replies from then on end the connection: see retirementFraction
 }
 
-// handshake does the TLS handshake and authenticates the peer, once one of the slots is free: when all proxies
-// reconnect at the same time, their handshakes must not take the processor time that long polls on open connections
-// need.
-func (c *conn) handshake() error {
-	options := c.server.config.TLS
-	c.server.handshakeSlots <- struct{}{}
-	defer func() { <-c.server.handshakeSlots }()
-	if c.server.isClosing() {
-		return net.ErrClosed
-	}
-	tlsConn := tls.Server(c.netConn, options.Config)
-	ctx, cancel := context.WithTimeout(context.Background(), options.HandshakeTimeout)
-	defer cancel()
-	if err := tlsConn.HandshakeContext(ctx); err != nil {
-		return err
-	}
-	peer, err := options.Authenticate(tlsConn.ConnectionState())
-	if err != nil {
-		return err
-	}
-	c.server.mu.Lock()
-	c.netConn, c.peer = tlsConn, peer
-	c.retireAt = peer.Expiry().Add(-time.Duration(retirementFraction * float64(time.Until(peer.Expiry()))))
-	c.server.mu.Unlock()
-	return nil
-}
-
 // HoldDeadline returns the time until which the request may be held: until its connection retires, or until its own
 // credential expires if that is earlier. ok is false on a plain connection, which has no such limit.
 func (r *Request) HoldDeadline() (deadline time.Time, ok bool) {
