Store the commands of operators that wait to be applied

Cause: the state had the overrides in force and no place for the queue.

Change: the state and its changes have the queue. None of it is applied after a restart before the drain grace is over.

--- a/cmd/barleysail/state_forget.go
+++ b/cmd/barleysail/state_forget.go
@@ -80,6 +80,7 @@
 func (f forgetFlags) remove(kept *statepb.State) error {
 	if f.overrides {
 		kept.Settings = nil
+		kept.Queue = nil
 	}
 	if len(f.hosts) == 0 {
 		kept.Hosts = nil
--- a/cmd/barleysail/state_show.go
+++ b/cmd/barleysail/state_show.go
@@ -49,6 +49,10 @@
 		columns.printf("operator set %s\t%s\tweight %g\tpart %g\tby %s\n", override.Host, overrideState(override),
 			override.Weight, override.Part, override.By)
 	}
+	for _, command := range restored.Queue {
+		columns.printf("operator queued %s\t%s\tweight %g\t\tby %s\n", command.Host,
+			operator.State(command.State), command.Weight, command.By)
+	}
 	columns.printf("%d proxies are known, %d of them with their tables (%d different)\n", len(loaded.State.Proxies),
 		countProxiesWithTables(restored), len(loaded.State.Tables))
 	return errors.Join(p.flush(), columns.flush())
--- a/controller/restore.go
+++ b/controller/restore.go
@@ -29,6 +29,7 @@
 	for _, setting := range restored.Overrides {
 		c.restoreOverride(setting)
 	}
+	c.restoreQueue(restored.Queue)
 	c.overrides.nextMs = math.Min(c.overrides.nextMs, nowMs)
 	if restored.AdmissionRatio < 1 || restored.MedianLatencyMs > 0 {
 		c.balancer.RestoreAdmission(restored.AdmissionRatio, c.restoredQuotas(), restored.MedianLatencyMs)
@@ -37,7 +38,7 @@
 
 // restoreOverride restores an override. It ignores one with an unknown state.
 func (c *Controller) restoreOverride(setting *statepb.Setting) {
-	if setting.State < int32(operator.Listed) || setting.State > int32(operator.Maintenance) {
+	if !isOverrideState(setting.State) {
 		return
 	}
 	override := operator.Override{
@@ -48,16 +49,53 @@
 		SetAtMs:     setting.At,
 		ExpiresMs:   setting.Until,
 	}
-	if added := setting.Added; added != nil {
-		override.Added = &operator.AddedHost{
-			Zone:      added.Zone,
-			Weight:    added.Weight,
-			Cores:     added.Cores,
-			Speed:     added.Speed,
-			StartedMs: added.Started,
+	override.Added = restoredAddedHost(setting.Added)
+	c.overrides.store.Restore(setting.Host, override)
+}
+
+// restoreQueue restores the queued commands. It ignores those with an unknown state.
+func (c *Controller) restoreQueue(queue []*statepb.QueuedCommand) {
+	var commands []operator.Command
+	for _, queued := range queue {
+		if !isOverrideState(queued.State) {
+			continue
 		}
+		commands = append(commands, operator.Command{
+			Host:        queued.Host,
+			State:       operator.State(queued.State),
+			Weight:      queued.Weight,
+			ClearWeight: queued.ClearWeight,
+			KeepState:   queued.KeepState,
+			Relative:    queued.Relative,
+			DurationMs:  queued.Duration,
+			Queue:       true,
+			Operator:    queued.By,
+			Add:         restoredAddedHost(queued.Added),
+			Remove:      queued.Remove,
+		})
+	}
+	if len(commands) > 0 {
+		c.overrides.store.RestorePending(c.nowMs, commands)
+	}
+}
+
+// isOverrideState reports whether a stored number is an operator.State.
+func isOverrideState(number int32) bool {
+	return number >= int32(operator.Listed) && number <= int32(operator.Maintenance)
+}
+
+// restoredAddedHost returns a host that an operator added; added may be nil.
+func restoredAddedHost(added *statepb.Added) *operator.AddedHost {
+	if added == nil {
+		return nil
+	}
+	return &operator.AddedHost{
+		Zone:      added.Zone,
+		Weight:    added.Weight,
+		Cores:     added.Cores,
+		Speed:     added.Speed,
+		StartedMs: added.Started,
 	}
-	c.overrides.store.Restore(setting.Host, override)
 }
 
 // restoredQuotas returns the admission quotas by class, 1 for a class without a restored one.
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -33,6 +33,9 @@
 	for _, host := range slices.Sorted(maps.Keys(overrides)) {
 		snapshot.Settings = append(snapshot.Settings, snapshotOverride(host, overrides[host]))
 	}
+	for _, command := range c.overrides.store.PendingCommands() {
+		snapshot.Queue = append(snapshot.Queue, snapshotCommand(command))
+	}
 	return snapshot
 }
 
@@ -126,18 +129,40 @@
 		At:     override.SetAtMs,
 		Until:  override.ExpiresMs,
 	}
-	if added := override.Added; added != nil {
-		setting.Added = &statepb.Added{
-			Zone:    added.Zone,
-			Weight:  added.Weight,
-			Cores:   added.Cores,
-			Speed:   added.Speed,
-			Started: added.StartedMs,
-		}
-	}
+	setting.Added = snapshotAddedHost(override.Added)
 	return setting
 }
 
+// snapshotCommand returns a queued command.
+func snapshotCommand(command operator.Command) *statepb.QueuedCommand {
+	return &statepb.QueuedCommand{
+		Host:        command.Host,
+		State:       int32(command.State),
+		Weight:      command.Weight,
+		ClearWeight: command.ClearWeight,
+		KeepState:   command.KeepState,
+		Relative:    command.Relative,
+		Duration:    command.DurationMs,
+		By:          command.Operator,
+		Added:       snapshotAddedHost(command.Add),
+		Remove:      command.Remove,
+	}
+}
+
+// snapshotAddedHost returns a host that an operator added; added may be nil.
+func snapshotAddedHost(added *operator.AddedHost) *statepb.Added {
+	if added == nil {
+		return nil
+	}
+	return &statepb.Added{
+		Zone:    added.Zone,
+		Weight:  added.Weight,
+		Cores:   added.Cores,
+		Speed:   added.Speed,
+		Started: added.StartedMs,
+	}
+}
+
 // persist returns a table set in its stored form, which is encoded once. Equal table sets have the same id.
 func (s *tableSet) persist() *statepb.Table {
 	s.mu.Lock()
--- a/operator/store.go
+++ b/operator/store.go
@@ -29,6 +29,16 @@
 	}
 }
 
+// PendingCommands returns a copy of the queue, first in first out.
+func (s *OverrideStore) PendingCommands() []Command { return slices.Clone(s.pending) }
+
+// RestorePending adds commands that an earlier incarnation has queued. None is applied before the drain grace is over:
+// until then the proxies may still route by the tables of that incarnation.
+func (s *OverrideStore) RestorePending(nowMs float64, commands []Command) {
+	s.pending = append(s.pending, commands...)
+	s.lastPendingAppliedMs = nowMs
+}
+
 // Override returns the override of a host, and whether it has one.
 func (s *OverrideStore) Override(host string) (Override, bool) {
 	override, found := s.overrides[host]
--- a/state/apply.go
+++ b/state/apply.go
@@ -19,6 +19,9 @@
 	if change.Fleet {
 		s.Fleet = part.GetFleet()
 	}
+	if change.Queue {
+		s.Queue = part.GetQueue()
+	}
 	referenced := referencedTables(s.Proxies)
 	s.Tables = slices.DeleteFunc(s.Tables, func(table *statepb.Table) bool { return !referenced[table.Id] })
 }
--- a/state/diff.go
+++ b/state/diff.go
@@ -32,6 +32,10 @@
 	diffProxies(change, previous.Proxies, current.Proxies)
 	diffTables(change, previous.Tables, current.Tables)
 	diffOverrides(change, previous.Settings, current.Settings)
+	if !slices.EqualFunc(previous.Queue, current.Queue, queuedCommandEqual) {
+		change.Part.Queue = current.Queue
+		change.Queue = true
+	}
 	if current.Fleet != nil && (previous.Fleet == nil || fleetDiffers(previous.Fleet, current.Fleet)) {
 		change.Part.Fleet = current.Fleet
 		change.Fleet = true
@@ -47,9 +51,11 @@
 func changeIsEmpty(change *statepb.Change) bool {
 	removed := len(change.GoneHosts) + len(change.GoneProxies) + len(change.GoneSettings)
 	updated := len(change.Part.Hosts) + len(change.Part.Proxies) + len(change.Part.Settings)
-	return removed == 0 && updated == 0 && !change.Fleet
+	return removed == 0 && updated == 0 && !change.Fleet && !change.Queue
 }
 
+func queuedCommandEqual(before, after *statepb.QueuedCommand) bool { return proto.Equal(before, after) }
+
 func diffHosts(change *statepb.Change, previous, current []*statepb.Host) {
 	forEachPair(previous, current, (*statepb.Host).GetName, func(before, after *statepb.Host) {
 		if after == nil {
--- a/state/diff_test.go
+++ b/state/diff_test.go
@@ -40,6 +40,10 @@
 				Weight: rapid.SampledFrom([]float64{1, 2}).Draw(t, "override weight"),
 			})
 		}
+		if rapid.Bool().Draw(t, "has queued command") {
+			host := rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "host of the command")
+			s.Queue = append(s.Queue, &statepb.QueuedCommand{Host: host, State: 1})
+		}
 	}
 	referenced := referencedTables(s.Proxies)
 	for _, id := range drawnTableIDs {
@@ -72,7 +76,8 @@
 			t.Fatalf("after the change was applied, the hosts are %v, want them sorted by name", applied.Hosts)
 		}
 		if len(applied.Hosts) != len(current.Hosts) || len(applied.Proxies) != len(current.Proxies) ||
-			len(applied.Settings) != len(current.Settings) || len(applied.Tables) != len(current.Tables) {
+			len(applied.Settings) != len(current.Settings) || len(applied.Tables) != len(current.Tables) ||
+			!slices.EqualFunc(applied.Queue, current.Queue, queuedCommandEqual) {
 			t.Fatalf("the state with the change applied is\n%v\nwant as many entries of each kind as in\n%v", applied, current)
 		}
 	})
@@ -98,6 +103,7 @@
 		{"admission ratio beyond tolerance", func(s *statepb.State) { s.Fleet.Level = 0.5 }, true},
 		{"admission quota beyond tolerance", func(s *statepb.State) { s.Fleet.Shares[0] = 0.3 }, true},
 		{"override changed", func(s *statepb.State) { s.Settings[0].Weight = 2 }, true},
+		{"command queued", func(s *statepb.State) { s.Queue = []*statepb.QueuedCommand{{Host: "h"}} }, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/state/restore.go
+++ b/state/restore.go
@@ -5,7 +5,7 @@
 // and beyond a maximum age the figure counts as unknown (DefaultLimits). Restored figures count as measurements of
 // the next incarnation, and by themselves never eject a host. The stored state (statepb.State) holds the starts and the
 // draining of hosts, their weights and latencies, failures and ejections, the admission ratio and quotas, the
-// confidence in load reports, the table versions and request rates of proxies, and the overrides of operators.
+// confidence in load reports, the table versions and request rates of proxies, and the overrides and queued commands of operators.
 //
 // The package performs no I/O, reads no clock and never writes files; package statefile does that. Instants are
 // milliseconds since 1970 by the wall clock, durations are milliseconds.
@@ -38,10 +38,11 @@
 	Reason          string  // why not everything that was stored is known; empty: everything is
 	Hosts           map[string]*Host
 	Proxies         map[string]*Proxy
-	AdmissionRatio  float64            // 1 if nothing is known
-	AdmissionQuotas map[string]float64 // by request class
-	MedianLatencyMs float64            // median of the hosts' mean latencies; 0: not known
-	Overrides       []*statepb.Setting // overrides of operators that have not expired
+	AdmissionRatio  float64                  // 1 if nothing is known
+	AdmissionQuotas map[string]float64       // by request class
+	MedianLatencyMs float64                  // median of the hosts' mean latencies; 0: not known
+	Overrides       []*statepb.Setting       // overrides of operators that have not expired
+	Queue           []*statepb.QueuedCommand // commands of operators that wait, first in first out
 }
 
 // Host is the restored knowledge about one host.
@@ -79,12 +80,13 @@
 // nil, nothing is known.
 //
 // If the wall clock went back by more than the tolerance since the state was stored, the age of its entries is
-// unknown. Then only the overrides of operators are restored, the expired ones included.
+// unknown. Then only the overrides and the queued commands of operators are restored, the expired overrides included.
 func ApplyDecay(stored *statepb.State, nowMs float64, limits Limits) *Restored {
 	if stored == nil {
 		return newRestored("no state was stored")
 	}
 	restored := newRestored("")
+	restored.Queue = slices.Clone(stored.Queue)
 	restored.ElapsedMs = nowMs - stored.At
 	if restored.ElapsedMs < -limits.ClockToleranceMs || math.IsNaN(restored.ElapsedMs) {
 		restored.Reason = fmt.Sprintf("the clock went back by %.0f ms", -restored.ElapsedMs)
--- a/state/shrink.go
+++ b/state/shrink.go
@@ -11,7 +11,7 @@
 // Shrink drops entries in place until the encoded state has at most maxBytes, and returns the number of steps that were
 // needed. The entries whose loss costs least are dropped first: one table of proxies at a time, the largest first (a
 // proxy without its table gets a snapshot instead of a delta), then a quarter of the proxies at a time, then a quarter
-// of the hosts at a time. Overrides of operators always stay, so the state may remain too large.
+// of the hosts at a time. Overrides and queued commands of operators always stay, so the state may remain too large.
 func Shrink(s *statepb.State, maxBytes int) (steps int) {
 	for proto.Size(s) > maxBytes {
 		switch {
