Store operators' commands before they are answered

Cause: the state was stored at intervals only.

Change: a command is saved before its answer, with those that wait beside it; while the folder cannot be written it is refused with 503. Not done: the command is applied before it is written, so where that write fails it is in effect until a restart, and the answer says so.

--- a/internal/daemon/api.go
+++ b/internal/daemon/api.go
@@ -87,7 +87,10 @@
 // errorStatus returns the HTTP status for an error other than a *controller.FieldError.
 func errorStatus(err error) int {
 	var rejected *operator.RejectedError
+	var notStored *NotStoredError
 	switch {
+	case errors.As(err, &notStored):
+		return http.StatusServiceUnavailable
 	case errors.As(err, &rejected) && rejected.UnknownHost:
 		return http.StatusNotFound
 	case rejected != nil:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -254,7 +254,7 @@
 }
 
 // Operators returns the operators' view of the controller, for any front end.
-func (d *Daemon) Operators() *Operators { return &Operators{loop: d.loop} }
+func (d *Daemon) Operators() *Operators { return &Operators{loop: d.loop, persister: d.persister} }
 
 // Addr returns the address:port of the HTTP API.
 func (d *Daemon) Addr() string { return d.listener.Addr().String() }
@@ -271,7 +271,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.closeAndLog("listener", d.listener)
 	if d.persister != nil {
-		d.persister.save()
+		_ = d.persister.save() // the report and the log have the error
 	}
 	d.loop.shutDown()
 	err := d.server.Shutdown(ctx)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -12,9 +12,26 @@
 // Operators is the operators' view of a controller, which the HTTP API and the runtime sockets share. Its methods may
 // be called by any goroutine.
 type Operators struct {
-	loop *controllerLoop
+	loop      *controllerLoop
+	persister *persister // nil: no state is persisted
 }
 
+// NotStoredError is the error of a command that could not be stored in the state folder.
+type NotStoredError struct {
+	InEffect bool // the command applies until a restart; otherwise it was refused
+	Cause    error
+}
+
+func (e *NotStoredError) Error() string {
+	if e.InEffect {
+		return "the command is in effect but could not be stored, a restart forgets it: " + e.Cause.Error()
+	}
+	return "the command is refused, it could not be stored: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotStoredError) Unwrap() error { return e.Cause }
+
 var _ runtimeapi.Controller = (*Operators)(nil)
 
 // Hosts returns the state of all hosts, by name.
@@ -42,11 +59,22 @@
 // Status returns the controller's status.
 func (o *Operators) Status() controller.Status { return o.loop.status() }
 
-// ApplyCommands applies commands of an operator, and reports whether any of them is queued until it can be applied. The
-// error is an *operator.RejectedError for a command that would break a rule, or a *controller.FieldError for an invalid
-// host to be added; no command is applied then.
+// ApplyCommands applies commands of an operator, and reports whether any of them is queued until it can be applied. If a
+// state folder is configured, the commands are on disk when it returns. The error is an *operator.RejectedError for a
+// command that would break a rule, a *controller.FieldError for an invalid host to be added, or a *NotStoredError; no
+// command is applied then, unless NotStoredError.InEffect is set.
 func (o *Operators) ApplyCommands(commands ...operator.Command) (queued bool, err error) {
-	return o.loop.applyOverrides(commands)
+	if err := o.persister.checkWritable(); err != nil {
+		return false, &NotStoredError{Cause: err}
+	}
+	queued, err = o.loop.applyOverrides(commands)
+	if err != nil || o.persister == nil {
+		return queued, err
+	}
+	if err := o.persister.save(); err != nil {
+		return queued, &NotStoredError{InEffect: true, Cause: err}
+	}
+	return queued, nil
 }
 
 // Events calls deliver with the events that have a number greater than after: at once if there are any or if wait is
--- a/internal/daemon/persister.go
+++ b/internal/daemon/persister.go
@@ -25,6 +25,7 @@
 	interval time.Duration
 
 	saveMu sync.Mutex // held during a save
+	closed bool       // guarded by saveMu; the folder may belong to another process
 
 	mu     sync.Mutex // guards report
 	report PersisterReport
@@ -99,7 +100,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			p.save()
+			_ = p.save() // the report has the error
 		case <-ctx.Done():
 			return
 		}
@@ -107,19 +108,33 @@
 }
 
 // save writes the controller's state to the disk and records the result in the report. It does nothing until the
-// controller has an endpoint list: until then it has learned nothing that should replace the stored state.
-func (p *persister) save() {
+// controller has an endpoint list: until then it has learned nothing that should replace the stored state. Of several
+// callers that wait, the first one saves for all: the others find nothing more to write.
+func (p *persister) save() error {
 	p.saveMu.Lock()
 	defer p.saveMu.Unlock()
+	if p.closed {
+		return errStopping
+	}
 	began := time.Now()
 	snapshot, endpointsKnown := p.loop.snapshot()
 	locked := time.Since(began)
 	if !endpointsKnown {
-		return
+		return nil
 	}
 	snapshot.Program = p.program
 	err := p.store.Save(snapshot)
 	p.recordSave(snapshot, err, time.Since(began), locked)
+	return err
+}
+
+// checkWritable returns an error if the folder cannot be written: the last save failed, and another one fails too. It
+// returns nil if no state is persisted.
+func (p *persister) checkWritable() error {
+	if p == nil || p.status().LastError == "" {
+		return nil
+	}
+	return p.save()
 }
 
 // recordSave records the result of a save in the report, and logs when saves begin to fail or to succeed again.
@@ -160,6 +175,9 @@
 
 // close closes the store and unlocks the folder. It must be called after run has returned.
 func (p *persister) close() {
+	p.saveMu.Lock()
+	defer p.saveMu.Unlock()
+	p.closed = true
 	p.store.Close()
 	if err := p.folder.Close(); err != nil {
 		p.log.Warn().Err(err).Msg("closing the state folder failed")
