Have an active standby follow the commands at its leader

Cause: the leader's state reached the standby's controller only when the standby became active.

Change: as the copied state changes, new, changed and dropped overrides and new queued commands are passed to the controller as commands, which the recording has too. Not done: sequence numbers.

Test: TestActiveStandbyFollowsCommands times out before the change (20 s) and passes with it.

--- a/controller/restore.go
+++ b/controller/restore.go
@@ -49,7 +49,7 @@
 		SetAtMs:     setting.At,
 		ExpiresMs:   setting.Until,
 	}
-	override.Added = restoredAddedHost(setting.Added)
+	override.Added = AddedHost(setting.Added)
 	c.overrides.store.Restore(setting.Host, override)
 }
 
@@ -60,32 +60,37 @@
 		if !isOverrideState(queued.State) {
 			continue
 		}
-		commands = append(commands, operator.Command{
-			Host:        queued.Host,
-			State:       operator.State(queued.State),
-			Weight:      queued.Weight,
-			ClearWeight: queued.ClearWeight,
-			KeepState:   queued.KeepState,
-			Relative:    queued.Relative,
-			DurationMs:  queued.Duration,
-			Queue:       true,
-			Operator:    queued.By,
-			Add:         restoredAddedHost(queued.Added),
-			Remove:      queued.Remove,
-		})
+		commands = append(commands, QueuedCommand(queued))
 	}
 	if len(commands) > 0 {
 		c.overrides.store.RestorePending(c.nowMs, commands)
 	}
 }
 
+// QueuedCommand returns a queued command from its stored form.
+func QueuedCommand(queued *statepb.QueuedCommand) operator.Command {
+	return operator.Command{
+		Host:        queued.Host,
+		State:       operator.State(queued.State),
+		Weight:      queued.Weight,
+		ClearWeight: queued.ClearWeight,
+		KeepState:   queued.KeepState,
+		Relative:    queued.Relative,
+		DurationMs:  queued.Duration,
+		Queue:       true,
+		Operator:    queued.By,
+		Add:         AddedHost(queued.Added),
+		Remove:      queued.Remove,
+	}
+}
+
 // isOverrideState reports whether a stored number is an operator.State.
 func isOverrideState(number int32) bool {
 	return number >= int32(operator.Listed) && number <= int32(operator.Maintenance)
 }
 
-// restoredAddedHost returns a host that an operator added; added may be nil.
-func restoredAddedHost(added *statepb.Added) *operator.AddedHost {
+// AddedHost returns a host that an operator added from its stored form; added may be nil.
+func AddedHost(added *statepb.Added) *operator.AddedHost {
 	if added == nil {
 		return nil
 	}
--- a/internal/daemon/standby.go
+++ b/internal/daemon/standby.go
@@ -37,7 +37,8 @@
 // standbyReplica makes this controller the standby of a leader. It replicates the leader's state by long polls, and
 // stores the endpoint list without passing it to the controller. It becomes active when a proxy polls that the leader
 // does not serve, or when a proxy polls after the leader's lease has expired: the controller then gets the replicated
-// state and the list, and serves from then on.
+// state and the list, and serves from then on. As long as it hears of the leader, it goes on to follow the commands of the
+// leader's operators.
 type standbyReplica struct {
 	loop          *controllerLoop
 	log           zerolog.Logger
@@ -48,6 +49,7 @@
 	mu             sync.Mutex
 	lease          *standby.Standby
 	replica        stateReplica
+	followed       replicatedCommands    // once the standby is active
 	endpoints      []controller.Endpoint // the last list
 	endpointsKnown bool                  // a list was received
 	lastError      string                // of the last poll of the leader; empty: it succeeded
@@ -144,6 +146,9 @@
 		connected = append(connected, proxy.Name)
 	}
 	s.lease.ObserveSessions(nowMs, connected)
+	if active, _ := s.lease.Active(); active && s.endpointsKnown { // else the controller would reject every command
+		s.followCommands()
+	}
 	return nil
 }
 
@@ -192,6 +197,7 @@
 	if replicated == nil {
 		replicated = &statepb.State{}
 	}
+	s.followed = newReplicatedCommands(replicated)
 	restored, err := s.loop.restore(replicated, s.coldMs)
 	if err != nil {
 		s.log.Error().Err(err).Msg("taking over without the leader's state")
--- a/internal/daemon/standby_test.go
+++ b/internal/daemon/standby_test.go
@@ -56,6 +56,35 @@
 	})
 }
 
+// Guards against a standby that forgets commands: it has served a proxy for a moment, operators change hosts at the leader
+// after that, and the leader is lost.
+func TestActiveStandbyFollowsCommands(t *testing.T) {
+	t.Parallel()
+	leader := startDaemon(t, "")
+	replica := startDaemon(t, fmt.Sprintf("standby { of: %q fresh_ms: 1500 }", leader.url))
+	leader.pollUntilBothHosts()
+	eventually(t, "the standby to have a state", func() bool { return replica.standby.report().Proxies == 1 })
+	if got := replica.get("/v1/proxies/other/tables?zone=a"); got.status != http.StatusOK {
+		t.Fatalf("poll of a proxy that the leader does not serve: %+v, want status 200", got)
+	}
+	host := func() string { return replica.get("/v1/hosts/10.0.0.2:80").body }
+	for _, step := range []struct{ command, want string }{
+		{`{"state":"drain","by":"ann","for_ms":600000}`, `"operator":{"state":"drain","by":"ann"`},
+		{`{"state":"ready","weight":3,"by":"bob"}`, `"listed_weight":3`},
+		{`{"state":"ready","clear":true,"by":"bob"}`, `"listed_weight":0.5`},
+		{`{"state":"drain","by":"eve"}`, `"operator":{"state":"drain","by":"eve"`},
+	} {
+		if got := leader.post("/v1/hosts/10.0.0.2:80/operator", step.command); got.status != http.StatusOK {
+			t.Fatalf("command %s: %+v, want status 200", step.command, got)
+		}
+		eventually(t, step.want, func() bool { return strings.Contains(host(), step.want) })
+	}
+	leader.Kill()
+	if body := host(); !strings.Contains(body, `"phase":"draining"`) {
+		t.Errorf("after the loss of the leader: %s, want the host draining", body)
+	}
+}
+
 // hasReplicated reports whether the standby's lease is valid and its state has one override, and one proxy session with
 // this entity tag.
 func (d *testDaemon) hasReplicated(tag string) bool {
