Bound the memory of large HTTP replies that clients do not read

Change: bodies over 64 KiB reserve memory while they are written; without it the reply is 503 with Retry-After.

--- a/internal/http1/config.go
+++ b/internal/http1/config.go
@@ -31,7 +31,7 @@
 	IdleTimeout   time.Duration // between requests: 2 min
 	WriteTimeout  time.Duration // for a reply: 10 s
 	MaxConns      int           // open connections: 20,000
-	MemoryBytes   int64         // of all requests together, while they are read and handled: see defaultMemoryBytes
+	MemoryBytes   int64         // of all requests together, and of all large replies: see defaultMemoryBytes
 	TLS           *TLSOptions   // nil: connections are plain
 	Now           func() time.Time
 	AcceptError   func(error) // called for each failed accept; nil: they are ignored
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -228,14 +228,14 @@
 		reply = reply.Build()
 	}
 	reply.Close = reply.Close || c.peer != nil && !time.Now().Before(c.retireAt)
-	return c.write(request, reply) == nil && !request.close && !reply.Close && !c.server.isClosing()
+	return c.write(request, &reply) == nil && !request.close && !reply.Close && !c.server.isClosing()
 }
 
 // rejectRequest answers a request whose body was not read, and returns whether the connection can be used for another
 // one: not if the request has a body.
 func (c *conn) rejectRequest(request *Request, reply Reply) bool {
 	reply.Close = reply.Close || request.bodyLength != 0
-	reusable := c.write(request, reply) == nil && !reply.Close && !request.close
+	reusable := c.write(request, &reply) == nil && !reply.Close && !request.close
 	if reply.Close {
 		c.linger()
 	}
@@ -260,7 +260,7 @@
 		reply.Header.Set("Retry-After", "1")
 	}
 	reply.Close = true
-	c.write(nil, reply)
+	c.write(nil, &reply)
 	c.linger()
 }
 
@@ -273,8 +273,23 @@
 	}
 }
 
-// write writes a reply; request is nil if it could not be read.
-func (c *conn) write(request *Request, reply Reply) error {
+// write writes a reply; request is nil if it could not be read. A large reply for which there is no memory left is
+// replaced by 503 Service Unavailable.
+func (c *conn) write(request *Request, reply *Reply) error {
+	reserved, ok := c.server.reserveReply(reply.Body)
+	if !ok {
+		rejection := Problem{Status: 503, Detail: "large replies to other clients use up the memory for them"}
+		closes := reply.Close
+		*reply = rejection.Reply("Retry-After", "1") // the large one is not kept while this one is written
+		reply.Close = closes
+		return c.writeReply(request, reply)
+	}
+	defer c.server.replyMemory.Release(reserved)
+	return c.writeReply(request, reply)
+}
+
+// writeReply writes a reply; request is nil if it could not be read.
+func (c *conn) writeReply(request *Request, reply *Reply) error {
 	w := c.server.writers.Get().(*bufio.Writer)
 	w.Reset(c.netConn)
 	defer func() { w.Reset(nil); c.server.writers.Put(w) }()
--- a/internal/http1/hostile_client_test.go
+++ b/internal/http1/hostile_client_test.go
@@ -230,3 +230,29 @@
 		}
 	})
 }
+
+// Guards against a process that is killed for its memory: clients ask for large replies, one after the other, and read
+// none.
+func TestMemoryOfUnreadReplies(t *testing.T) {
+	const clients, requests, replyBytes = 100, 8, 1 << 20
+	server := startServer(t, Config{MemoryBytes: testMemoryBytes, WriteTimeout: 2 * testTimeout})
+	answered := make(chan struct{}, clients*requests)
+	server.mux.Handle("GET", "/fresh", Route{Handler: func(*Request) Reply {
+		answered <- struct{}{}
+		return Reply{Status: 200, Body: make([]byte, replyBytes)}
+	}})
+	before := heapBytes()
+	for range clients {
+		conn := dial(t, server.addr)
+		defer conn.Close()
+		conn.(*net.TCPConn).SetReadBuffer(4096)
+		io.WriteString(conn, strings.Repeat("GET /fresh HTTP/1.1\r\nHost: a\r\n\r\n", requests))
+		<-answered
+	}
+	waitFor(t, "only the replies that are written use memory", func() bool {
+		used := heapBytes() - before
+		t.Logf("%.1f MB in use", float64(used)/(1<<20))
+		return used <= testMemoryBytes+memoryAllowance
+	})
+	expectPromptReply(t, server)
+}
--- a/internal/http1/request_memory.go
+++ b/internal/http1/request_memory.go
@@ -17,6 +17,9 @@
 	// memoryPerBodyByte is the memory for each byte of a body: a document takes a multiple of its text once it is decoded.
 	memoryPerBodyByte = 8
 
+	// unreservedReplyBytes is the size of a reply's body up to which no memory is reserved while it is written.
+	unreservedReplyBytes = 64 << 10
+
 	// bodyChunkBytes is the size of the pieces in which a body is read. Memory is used for what has arrived, whatever
 	// length was announced.
 	bodyChunkBytes = 16 << 10
@@ -61,3 +64,13 @@
 	m.used = 0
 	m.reserved = 0
 }
+
+// reserveReply reserves memory for the body of a reply until it is written. ok is false where the replies that other
+// clients do not read use up the budget.
+func (s *Server) reserveReply(body []byte) (reserved int64, ok bool) {
+	if len(body) <= unreservedReplyBytes {
+		return 0, true
+	}
+	reserved = min(int64(len(body)), s.config.MemoryBytes)
+	return reserved, s.replyMemory.TryAcquire(reserved)
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -29,6 +29,7 @@
 
 	readers, writers sync.Pool           // *messageReader and *bufio.Writer
 	memory           *semaphore.Weighted // bytes of requests
+	replyMemory      *semaphore.Weighted // bytes of large replies that are written
 	handshakeSlots   chan struct{}       // holds an element for each handshake that is processed
 }
 
@@ -36,6 +37,7 @@
 func NewServer(mux *Mux, config Config) *Server {
 	s := &Server{config: config.withDefaults(), mux: mux, conns: map[*conn]bool{}}
 	s.memory = semaphore.NewWeighted(s.config.MemoryBytes)
+	s.replyMemory = semaphore.NewWeighted(s.config.MemoryBytes)
 	if options := s.config.TLS; options != nil {
 		s.handshakeSlots = make(chan struct{}, options.MaxHandshakes)
 	}
@@ -95,7 +97,7 @@
 	}
 	reply := Problem{Status: 503, Detail: "too many connections"}.Reply("Retry-After", "1")
 	reply.Close = true
-	c.write(nil, reply)
+	c.write(nil, &reply)
 	c.netConn.Close()
 }
 
