--- a/controller/departed_test.go
+++ b/controller/departed_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// Guards against a report that is counted twice: a proxy that left, or whose connection was lost, sends it again after it
-// has connected again.
+// Guards against a report that is counted twice: a proxy that left, or whose connection was lost, sends it again after
+// it has connected again.
 func TestRepeatedReportAfterReconnect(t *testing.T) {
 	h := newHarness(t, defaultTestConfig())
 	list := h.readyEndpoints(2)
--- a/controller/queue_restart_test.go
+++ b/controller/queue_restart_test.go
@@ -7,8 +7,8 @@
 	"barleysail/routing"
 )
 
-// Guards against a drain of a zone that is forgotten in a restart: the hosts that still wait for the one before them are
-// never drained, although the command was accepted.
+// Guards against a drain of a zone that is forgotten in a restart: the hosts that still wait for the one before them
+// are never drained, although the command was accepted.
 func TestQueuedCommandsSurviveRestart(t *testing.T) {
 	config := defaultTestConfig()
 	h := newHarness(t, config)
--- a/internal/daemon/durable_commands_test.go
+++ b/internal/daemon/durable_commands_test.go
@@ -29,7 +29,8 @@
 	d.Kill()
 	d.start()
 	if !d.firstHostDrains() {
-		t.Errorf("the host is not draining after the restart, want the drain that was answered with 200: %s", d.get("/v1/hosts/10.0.0.1:80").body)
+		t.Errorf("the host is not draining after the restart, want the drain that was answered with 200: %s",
+			d.get("/v1/hosts/10.0.0.1:80").body)
 	}
 }
 
--- a/internal/daemon/hostile_client_test.go
+++ b/internal/daemon/hostile_client_test.go
@@ -22,13 +22,17 @@
 	"reports of unknown hosts": func(i int) string {
 		return postRequest(fmt.Sprintf("/v1/hosts/n%d/load", i), `{"number":1}`)
 	},
-	"polls of an unknown zone": func(i int) string { return getRequest(fmt.Sprintf("/v1/proxies/n%d/tables?zone=z%d", i, i)) },
+	"polls of an unknown zone": func(i int) string {
+		return getRequest(fmt.Sprintf("/v1/proxies/n%d/tables?zone=z%d", i, i))
+	},
 	"commands": func(i int) string {
 		return postRequest("/v1/hosts/10.0.0.1:80/operator", fmt.Sprintf(`{"weight":1,"by":"n%d"}`, i))
 	},
-	"malformed commands": func(i int) string { return postRequest("/v1/hosts/10.0.0.1:80/operator", fmt.Sprintf(`{"n%d":1}`, i)) },
-	"status":             func(int) string { return getRequest("/v1/status") },
-	"state":              func(int) string { return getRequest("/v1/state") },
+	"malformed commands": func(i int) string {
+		return postRequest("/v1/hosts/10.0.0.1:80/operator", fmt.Sprintf(`{"n%d":1}`, i))
+	},
+	"status": func(int) string { return getRequest("/v1/status") },
+	"state":  func(int) string { return getRequest("/v1/state") },
 }
 
 func getRequest(target string) string { return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n" }
--- a/internal/daemon/standby.go
+++ b/internal/daemon/standby.go
@@ -37,8 +37,8 @@
 // standbyReplica makes this controller the standby of a leader. It replicates the leader's state by long polls, and
 // stores the endpoint list without passing it to the controller. It becomes active when a proxy polls that the leader
 // does not serve, or when a proxy polls after the leader's lease has expired: the controller then gets the replicated
-// state and the list, and serves from then on. As long as it hears of the leader, it goes on to follow the commands of the
-// leader's operators.
+// state and the list, and serves from then on. As long as it hears of the leader, it goes on to follow the commands of
+// the leader's operators.
 type standbyReplica struct {
 	loop          *controllerLoop
 	log           zerolog.Logger
--- a/internal/daemon/standby_test.go
+++ b/internal/daemon/standby_test.go
@@ -56,8 +56,8 @@
 	})
 }
 
-// Guards against a standby that forgets commands: it has served a proxy for a moment, operators change hosts at the leader
-// after that, and the leader is lost.
+// Guards against a standby that forgets commands: it has served a proxy for a moment, operators change hosts at the
+// leader after that, and the leader is lost.
 func TestActiveStandbyFollowsCommands(t *testing.T) {
 	t.Parallel()
 	leader := startDaemon(t, "")
--- a/internal/http1/held.go
+++ b/internal/http1/held.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// departureCheckInterval is the time between two checks whether the peer of a held request has left, where it has sent so
-// much behind the request that no more is read.
+// departureCheckInterval is the time between two checks whether the peer of a held request has left, where it has sent
+// so much behind the request that no more is read.
 const departureCheckInterval = time.Second
 
 // awaitReply waits for the reply to a held request and detects in the meantime that the peer disconnects. Up to a buffer
--- a/internal/http1/hostile_client_test.go
+++ b/internal/http1/hostile_client_test.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// Guards against a process that is killed for its memory: hundreds of clients stop half way through a large request, only
-// announce it, or send very many short header fields.
+// Guards against a process that is killed for its memory: hundreds of clients stop half way through a large request,
+// only announce it, or send very many short header fields.
 func TestMemoryOfUnfinishedRequests(t *testing.T) {
 	post := "POST /echo/x HTTP/1.1\r\nHost: a\r\nContent-Type: text/plain\r\n"
 	var fields strings.Builder
--- a/internal/platform/session_pace_test.go
+++ b/internal/platform/session_pace_test.go
@@ -11,8 +11,8 @@
 	"barleysail/internal/resp"
 )
 
-// Guards against one peer that uses the processor time of all others: it sends at full speed, and is read at the pace of a
-// session.
+// Guards against one peer that uses the processor time of all others: it sends at full speed, and is read at the pace
+// of a session.
 func TestFloodIsReadAtSessionPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const messages = 3 * sessionMessagesPerSecond
--- a/internal/runtimeapi/server.go
+++ b/internal/runtimeapi/server.go
@@ -114,7 +114,7 @@
 	sessions   sync.WaitGroup
 
 	mu       sync.Mutex             // guards the fields below
-	conns    map[net.Conn]time.Time // the open connections, and since when each has waited for a command; zero: it does not
+	conns    map[net.Conn]time.Time // open connections, and since when each has waited for a command; zero: it does not
 	closed   bool
 	failures []string // the last commands that failed, with their answers
 }
--- a/internal/runtimeapi/session.go
+++ b/internal/runtimeapi/session.go
@@ -71,8 +71,8 @@
 
 func (s *session) flush() error { return s.output.Flush() }
 
-// deadlineWriter writes to a connection with a timeout for each write, so that a client that reads nothing does not hold
-// its connection.
+// deadlineWriter writes to a connection with a timeout for each write, so that a client that reads nothing does not
+// hold its connection.
 type deadlineWriter struct {
 	conn    net.Conn
 	timeout time.Duration
--- a/routing/proxyfleet_test.go
+++ b/routing/proxyfleet_test.go
@@ -28,7 +28,6 @@
 	proxies  []fleetProxy
 	hosts    map[int]*fleetHost
 	weights  map[int]map[int]float64 // as proxies have applied them, by table and host
-	version  int
 }
 
 // laterCall is a call that is due at an instant.
--- a/state/restore.go
+++ b/state/restore.go
@@ -5,7 +5,8 @@
 // and beyond a maximum age the figure counts as unknown (DefaultLimits). Restored figures count as measurements of
 // the next incarnation, and by themselves never eject a host. The stored state (statepb.State) holds the starts and the
 // draining of hosts, their weights and latencies, failures and ejections, the admission ratio and quotas, the
-// confidence in load reports, the table versions and request rates of proxies, and the overrides and queued commands of operators.
+// confidence in load reports, the table versions and request rates of proxies, and the overrides and queued commands
+// of operators.
 //
 // The package performs no I/O, reads no clock and never writes files; package statefile does that. Instants are
 // milliseconds since 1970 by the wall clock, durations are milliseconds.
