--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -59,8 +59,8 @@
 // Status returns the controller's status.
 func (o *Operators) Status() controller.Status { return o.loop.status() }
 
-// ApplyCommands applies commands of an operator, and reports whether any of them is queued until it can be applied. If a
-// state folder is configured, the commands are on disk when it returns. The error is an *operator.RejectedError for a
+// ApplyCommands applies commands of an operator, and reports whether any of them is queued until it can be applied. If
+// a state folder is configured, the commands are on disk when it returns. The error is an *operator.RejectedError for a
 // command that would break a rule, a *controller.FieldError for an invalid host to be added, or a *NotStoredError; no
 // command is applied then, unless NotStoredError.InEffect is set.
 func (o *Operators) ApplyCommands(commands ...operator.Command) (queued bool, err error) {
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// takeQueue removes and returns the queued messages, and how many of their bytes are reserved. If there are none, or the
-// connection is closed, it returns an empty queue and clears writing, since the goroutine that writes ends then.
+// takeQueue removes and returns the queued messages, and how many of their bytes are reserved. If there are none, or
+// the connection is closed, it returns an empty queue and clears writing, since the goroutine that writes ends then.
 func (c *connection) takeQueue() (queue []byte, reserved int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -68,8 +68,8 @@
 	reserved  int    // bytes of the current message for which memory is reserved, or which need none
 }
 
-// NewReader returns a Reader that reads from source. It reserves memory for large messages in the budget, unless that is
-// nil.
+// NewReader returns a Reader that reads from source. It reserves memory for large messages in the budget, unless that
+// is nil.
 func NewReader(source io.Reader, budget Budget) *Reader {
 	return &Reader{
 		buffer:   bufio.NewReaderSize(source, readBufferBytes),
