--- a/routing/zonefailure_test.go
+++ b/routing/zonefailure_test.go
@@ -74,8 +74,8 @@
 	return set
 }
 
-// Guards against a warming host that gains traffic from its zone because all other hosts of the zone fail alike: none of
-// them is worse than its table, so their weights must not be halved beside that of the warming host.
+// Guards against a warming host that gains traffic from its zone because all other hosts of the zone fail alike: none
+// of them is worse than its table, so their weights must not be halved beside that of the warming host.
 func TestZoneFailuresKeepWeightsOfItsTable(t *testing.T) {
 	set := fourZoneSettings()
 	set.deployment.ProxyEjectAfter = 0
