Hold back warming hosts once warm ones leave health checks unanswered

Cause: proxies report an attempt when it begins and its failure when it is given up, so that reports look sound while hosts begin to hang.

Change: the part of a table's published weight whose hosts answer health checks counts as its success ratio where that is lower, for the decision whether hosts that are warming up get traffic.

TestUnansweredHealthChecksHoldBackWarmingHost fails before.

--- a/routing/proxyfleet_test.go
+++ b/routing/proxyfleet_test.go
@@ -42,13 +42,19 @@
 	ratePerMs    float64
 	failures     map[int]int     // in a row, by host
 	ejectedUntil map[int]float64 // by host
+	tallies      map[int]*fleetTally
+}
+
+// fleetTally counts a proxy's attempts at a host since its last report. An attempt counts when it begins, and its
+// failure when it is given up, so that a report has at most as many failures as attempts of the same interval.
+type fleetTally struct {
+	attempts int
+	failures int
 }
 
 // fleetHost is a host of a proxyFleet.
 type fleetHost struct {
 	hanging      bool // it accepts attempts and health checks, and answers none
-	attempts     int  // since the last report
-	failures     int
 	attemptsAtMs []float64
 }
 
@@ -73,6 +79,7 @@
 			ratePerMs:    requestsPerSecond(zone) / msPerSecond,
 			failures:     map[int]int{},
 			ejectedUntil: map[int]float64{},
+			tallies:      map[int]*fleetTally{},
 		})
 		f.ConnectProxy(proxy, zone, requestsPerSecond(zone))
 	}
@@ -156,7 +163,7 @@
 // attempt sends a request to a host.
 func (f *proxyFleet) attempt(proxy *fleetProxy, index int) {
 	host := f.hosts[index]
-	host.attempts++
+	proxy.tally(index).attempts++
 	host.attemptsAtMs = append(host.attemptsAtMs, f.clockMs)
 	if !host.hanging {
 		proxy.failures[index] = 0
@@ -169,7 +176,9 @@
 
 // fail counts a failed attempt, and has the proxy eject a host after too many failures in a row.
 func (f *proxyFleet) fail(proxy *fleetProxy, index int) {
-	f.hosts[index].failures++
+	tally := proxy.tally(index)
+	tally.attempts = max(tally.attempts, 1)
+	tally.failures = min(tally.failures+1, tally.attempts)
 	proxy.failures[index]++
 	if proxy.failures[index] >= f.settings.deployment.ProxyEjectAfter {
 		proxy.failures[index] = 0
@@ -177,15 +186,27 @@
 	}
 }
 
+// tally returns a proxy's counts of a host.
+func (p *fleetProxy) tally(host int) *fleetTally {
+	if p.tallies[host] == nil {
+		p.tallies[host] = &fleetTally{}
+	}
+	return p.tallies[host]
+}
+
 // report sends the reports of all collectors.
 func (f *proxyFleet) report() {
 	for _, index := range f.hostOrder {
-		host := f.hosts[index]
-		if host.attempts+host.failures > 0 {
-			attempts := max(host.attempts, host.failures)
-			f.ObserveHostStats(index, attempts, host.failures, fleetServiceMs, reportIntervalMs, UnknownLoad)
+		var sum fleetTally
+		for i := range f.proxies {
+			tally := f.proxies[i].tally(index)
+			sum.attempts += tally.attempts
+			sum.failures += tally.failures
+			*tally = fleetTally{}
+		}
+		if sum.attempts > 0 {
+			f.ObserveHostStats(index, sum.attempts, sum.failures, fleetServiceMs, reportIntervalMs, UnknownLoad)
 		}
-		host.attempts, host.failures = 0, 0
 	}
 }
 
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -33,9 +33,15 @@
 	total     float64 // base weights of all hosts
 	ready     float64 // base weights of the ready hosts, times their slow-start factors
 	published float64 // published weights of the warm hosts, or their weights after rebalancing where larger
+	silent    float64 // part of published of the hosts that leave health checks unanswered
 	anyWarm   bool    // some ready host is warm
 }
 
+// answeringRatio returns the part of the published weight of the warm hosts whose hosts answer their health checks.
+func (c *tableCapacity) answeringRatio() float64 {
+	return 1 - c.silent/math.Max(c.published, minDivisor)
+}
+
 // slowStartFactor returns the fraction of its capacity that a host is known to have after its start. It rises linearly
 // from SlowStartInitialFactor to 1, within SlowStartMs of the start.
 func (b *Balancer) slowStartFactor(host *hostRecord) float64 {
@@ -76,8 +82,9 @@
 // updateTableSlowStart decides whether hosts of a table that are warming up may get traffic, and updates the published
 // share of its warm hosts. While a ready host is warm they get none until reports show the effect of this instance's
 // own first weights, nor while proxies that eject hosts by themselves may eject most of them and leave only a host that
-// has just started. Where no ready host is warm, those that are warming up get traffic once they can take all of it
-// together. It logs a change with the given fields first.
+// has just started. Unanswered health checks of the warm hosts show that before reports do: an attempt at a host that
+// hangs is reported as failed only once the proxy has given it up. Where no ready host is warm, those that are warming
+// up get traffic once they can take all of it together. It logs a change with the given fields first.
 func (b *Balancer) updateTableSlowStart(writer UpdateWriter, number int, fields []Field) {
 	table := &b.slowStart[number]
 	successRatio := b.tables[number].successRatio
@@ -85,7 +92,8 @@
 	var allowed bool
 	if capacity.anyWarm {
 		table.publishedShare = math.Min(1, capacity.published/math.Max(capacity.ready, minDivisor))
-		allowed = b.reports.lastAtMs >= b.reports.observableAtMs && !b.proxiesMayEjectMost(successRatio)
+		likelyRatio := math.Min(successRatio, capacity.answeringRatio())
+		allowed = b.reports.lastAtMs >= b.reports.observableAtMs && !b.proxiesMayEjectMost(likelyRatio)
 	} else {
 		table.publishedShare = 1
 		allowed = capacity.ready*b.limits.CollapseMultiple >= slowStartOnlyMargin*capacity.total
@@ -94,10 +102,11 @@
 		return
 	}
 	table.allowed = allowed
-	writer.Log(Event{SlowStartChanged, NoHost, append(fields,
-		Field{"allowed", indicator(allowed), 0},
-		Field{"success_ratio", successRatio, 2},
-	)})
+	fields = append(fields, Field{"allowed", indicator(allowed), 0}, Field{"success_ratio", successRatio, 2})
+	if answeringRatio := capacity.answeringRatio(); answeringRatio < 1 {
+		fields = append(fields, Field{"answering_ratio", answeringRatio, 2})
+	}
+	writer.Log(Event{SlowStartChanged, NoHost, fields})
 }
 
 // measureTableCapacities sums the capacity over the hosts of each shared table; those that are not ready count only in
@@ -120,7 +129,11 @@
 		}
 		capacity.anyWarm = true
 		if host.publication.weight > 0 {
-			capacity.published += math.Max(host.publication.weight, host.balance.weight)
+			weight := math.Max(host.publication.weight, host.balance.weight)
+			capacity.published += weight
+			if host.health.consecutiveFailures >= unreachableFailures {
+				capacity.silent += weight
+			}
 		}
 	}
 }
--- a/routing/zonefailure_test.go
+++ b/routing/zonefailure_test.go
@@ -74,6 +74,31 @@
 	return set
 }
 
+// Guards against a warming host that is held back too late: the warm hosts of its table hang, and reports count an
+// attempt as failed only once the proxy has given it up.
+func TestUnansweredHealthChecksHoldBackWarmingHost(t *testing.T) {
+	set := defaultSettings()
+	set.deployment.ProxyEjectAfter = 3
+	h := newHarness(set, 5)
+	reports := uniformReports(5, healthyReport)
+	h.runWithHealthChecks(5000, reports, allHosts(Healthy))
+	h.restartHost(4, 0)
+	hanging := func(host int) HealthCheckResult {
+		if host < 3 {
+			return TimedOut
+		}
+		return Healthy
+	}
+	h.runWithHealthChecks(2000, reports, allHosts(Healthy))
+	if weight := h.hosts[4].publication.weight; weight == 0 {
+		t.Fatal("the warming host has no weight while all hosts answer, want some")
+	}
+	h.runWithHealthChecks(4000, reports, hanging)
+	if weight := h.hosts[4].publication.weight; weight != 0 {
+		t.Errorf("the warming host has weight %.3f while three of four warm hosts hang, want 0", weight)
+	}
+}
+
 // Guards against a warming host that gains traffic from its zone because all other hosts of the zone fail alike: none
 // of them is worse than its table, so their weights must not be halved beside that of the warming host.
 func TestZoneFailuresKeepWeightsOfItsTable(t *testing.T) {
