--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -177,7 +177,9 @@
 	message, decodeErr := n.decoder.decodeSessionMessage(words)
 	n.post(func() {
 		err := n.handleMessage(session, message, decodeErr)
-		if err != nil {
+		if errors.Is(err, errSessionEnded) {
+			n.warnings.warn("message of an ended session dropped", nil)
+		} else if err != nil {
 			n.warnings.warn(droppedText, err)
 		}
 	})
