Leave out replicated commands with an unknown state

A newer leader may have states of hosts that a standby does not know. The restore of a state has always left them out; an active standby passed them on, and describing such a command ends the process. state show did the same for queued commands, beside a function that handles it. The check is a method of operator.State now.

Test: TestUnknownStateIsNotFollowed; by reading, the former code passes both unknown commands on.

--- a/cmd/barleysail/state_show.go
+++ b/cmd/barleysail/state_show.go
@@ -46,12 +46,12 @@
 	columns := newColumnPrinter(out)
 	printStateHosts(columns, loaded.State.Hosts, restored, nowMs)
 	for _, override := range restored.Overrides {
-		columns.printf("operator set %s\t%s\tweight %g\tpart %g\tby %s\n", override.Host, overrideState(override),
+		columns.printf("operator set %s\t%s\tweight %g\tpart %g\tby %s\n", override.Host, shownState(override.State),
 			override.Weight, override.Part, override.By)
 	}
 	for _, command := range restored.Queue {
 		columns.printf("operator queued %s\t%s\tweight %g\t\tby %s\n", command.Host,
-			operator.State(command.State), command.Weight, command.By)
+			shownState(command.State), command.Weight, command.By)
 	}
 	columns.printf("%d proxies are known, %d of them with their tables (%d different)\n", len(loaded.State.Proxies),
 		countProxiesWithTables(restored), len(loaded.State.Tables))
@@ -90,9 +90,9 @@
 	}
 }
 
-// overrideState returns the state that an override sets; a number out of range counts as the nearest state.
-func overrideState(override *statepb.Setting) operator.State {
-	return operator.State(min(max(override.State, 0), int32(operator.Maintenance)))
+// shownState returns the state of a stored override or command, the nearest known one for an unknown number.
+func shownState(number int32) operator.State {
+	return operator.State(min(max(number, 0), int32(operator.Maintenance)))
 }
 
 // countProxiesWithTables counts the proxies whose tables are restored.
--- a/controller/restore.go
+++ b/controller/restore.go
@@ -38,7 +38,7 @@
 
 // restoreOverride restores an override. It ignores one with an unknown state.
 func (c *Controller) restoreOverride(setting *statepb.Setting) {
-	if !isOverrideState(setting.State) {
+	if !operator.State(setting.State).IsValid() {
 		return
 	}
 	override := operator.Override{
@@ -57,7 +57,7 @@
 func (c *Controller) restoreQueue(queue []*statepb.QueuedCommand) {
 	var commands []operator.Command
 	for _, queued := range queue {
-		if !isOverrideState(queued.State) {
+		if !operator.State(queued.State).IsValid() {
 			continue
 		}
 		commands = append(commands, QueuedCommand(queued))
@@ -84,11 +84,6 @@
 	}
 }
 
-// isOverrideState reports whether a stored number is an operator.State.
-func isOverrideState(number int32) bool {
-	return number >= int32(operator.Listed) && number <= int32(operator.Maintenance)
-}
-
 // AddedHost returns a host that an operator added from its stored form; added may be nil.
 func AddedHost(added *statepb.Added) *operator.AddedHost {
 	if added == nil {
--- a/internal/daemon/standby_commands.go
+++ b/internal/daemon/standby_commands.go
@@ -19,10 +19,19 @@
 	queue     []*statepb.QueuedCommand
 }
 
+// newReplicatedCommands returns the commands of a replicated state. It leaves out those with an unknown state, which a
+// newer leader may have.
 func newReplicatedCommands(replicated *statepb.State) replicatedCommands {
-	commands := replicatedCommands{overrides: map[string]*statepb.Setting{}, queue: slices.Clone(replicated.Queue)}
+	commands := replicatedCommands{overrides: map[string]*statepb.Setting{}}
 	for _, override := range replicated.Settings {
-		commands.overrides[override.Host] = override
+		if operator.State(override.State).IsValid() {
+			commands.overrides[override.Host] = override
+		}
+	}
+	for _, queued := range replicated.Queue {
+		if operator.State(queued.State).IsValid() {
+			commands.queue = append(commands.queue, queued)
+		}
 	}
 	return commands
 }
--- a/internal/daemon/standby_test.go
+++ b/internal/daemon/standby_test.go
@@ -85,6 +85,22 @@
 	}
 }
 
+// Guards against a standby that ends because a newer leader has a state of hosts that the standby does not know.
+func TestUnknownStateIsNotFollowed(t *testing.T) {
+	const unknownState = 3
+	next := newReplicatedCommands(&statepb.State{
+		Settings: []*statepb.Setting{{Host: "a", State: unknownState}, {Host: "b", State: 1}},
+		Queue:    []*statepb.QueuedCommand{{Host: "c", State: unknownState}, {Host: "d", State: 1}},
+	})
+	var hosts []string
+	for _, command := range new(replicatedCommands).commandsUntil(next, 0) {
+		hosts = append(hosts, command.Host)
+	}
+	if got, want := strings.Join(hosts, " "), "b d"; got != want {
+		t.Errorf("commands for the hosts %q, want %q", got, want)
+	}
+}
+
 // hasReplicated reports whether the standby's lease is valid and its state has one override, and one proxy session with
 // this entity tag.
 func (d *testDaemon) hasReplicated(tag string) bool {
--- a/operator/command.go
+++ b/operator/command.go
@@ -20,6 +20,9 @@
 // readyName is another name for Listed in the APIs.
 const readyName = "ready"
 
+// IsValid reports whether a state that was stored or replicated is one of those above.
+func (s State) IsValid() bool { return s >= Listed && s <= Maintenance }
+
 // String returns the name of the state in the APIs.
 func (s State) String() string { return stateNames[s] }
 
