Assign a table to proxies that connect in a zone without a warm host

Cause: where the shared tables of all connecting proxies would be late, a proxy gets a subset of warm hosts first. In a zone of which all hosts are removed, draining, warming up or ejected there is none, so fillSubset added nothing and nothing was assigned. The proxies stayed unassigned, which kept the tables late, and assignFallbackTables passes over unassigned proxies.

Change: a proxy that has no table yet is assigned an empty one where there is no host for a subset, so that it stops routing by a table of an earlier controller; the shared table follows as for every subset. A shared table that is no larger than a subset is assigned at once. Ejected hosts may be in subsets where the shared table holds them too, as there are no others. The same holds where removals replace the shared table by a subset.

The test channel now follows fallback tables, counts messages, and counts empty tables only while a warm host may take the class, as the rule says; in the tests that use it there always was one.

--- a/routing/assignment.go
+++ b/routing/assignment.go
@@ -97,8 +97,8 @@
 
 // assignTables gives proxies a shared table or a subset of the hosts: those without a table first, then by their
 // traffic. A proxy that cannot get the shared table in time gets a subset first, since it must not keep routing by an
-// old table. In subset mode and while a retry storm is quiesced every proxy gets a subset. A subset that lost
-// hosts is refilled.
+// old table; the subset is empty where its zone has no host for one. In subset mode and while a retry storm is quiesced
+// every proxy gets a subset. A subset that lost hosts is refilled.
 func (b *Balancer) assignTables(round *publishRound) {
 	for _, index := range b.proxiesToAssign(round.assignments.ratePerWeight) {
 		proxy := &b.proxies[index]
@@ -107,12 +107,12 @@
 		}
 		hosts := round.tables[b.sharedTable(proxy.zone)].entries
 		cost := float64(hosts) + tableAssignmentEntries + round.batch.messageOverhead
-		subsetFirst := b.needsSubset(round, proxy, cost)
+		subsetFirst := b.needsSubset(round, proxy, hosts, cost)
 		switch {
 		case !subsetFirst && b.maySendSharedTable(round, proxy, cost):
 			b.assignSharedTable(round, index, cost)
 		case subsetFirst && !proxy.ownsTable || !round.urgentPending && b.lacksHosts(proxy, round.assignments.ratePerWeight):
-			b.assignSubset(round, index, protectiveFill)
+			b.assignSubset(round, index, protectiveFill, !proxy.assigned)
 		}
 	}
 }
@@ -145,14 +145,14 @@
 		!proxy.assigned && b.channel.allowsMessage(sent, removalFill)
 }
 
-// needsSubset reports whether a proxy should get a subset of the hosts instead of a shared table. cost is that of the
-// shared table, in entries with the message overhead.
-func (b *Balancer) needsSubset(round *publishRound, proxy *proxyRecord, cost float64) bool {
+// needsSubset reports whether a proxy should get a subset of the hosts instead of a shared table, which has the given
+// number of hosts. cost is that of the shared table, in entries with the message overhead.
+func (b *Balancer) needsSubset(round *publishRound, proxy *proxyRecord, hosts int, cost float64) bool {
 	if b.subsetMode.active || b.retryStorm.quiescing {
 		return true
 	}
 	entries := float64(round.assignments.unassigned)*cost + round.batch.initialBacklog
-	late := b.exceedsAssignmentGrace(entries)
+	late := hosts > minSubsetSize && b.exceedsAssignmentGrace(entries)
 	return !proxy.assigned && (late || round.urgentPending)
 }
 
@@ -179,9 +179,10 @@
 }
 
 // assignSubset makes a proxy route by its own table, which holds a subset of the hosts, or refills that table. It does
-// nothing, and returns false, where the channel has no capacity left within the fraction fill of its limits or there
-// are no hosts to add.
-func (b *Balancer) assignSubset(round *publishRound, index int, fill float64) bool {
+// nothing, and returns false, where the channel has no capacity left within the fraction fill of its limits, or where
+// there are no hosts to add and an empty table is not allowed. An empty table is better than none for a proxy that
+// may route by a table with draining or removed hosts.
+func (b *Balancer) assignSubset(round *publishRound, index int, fill float64, allowEmpty bool) bool {
 	batch := &round.batch
 	if !batch.hasCapacity(batch.messageOverhead+minSubsetSize, fill) {
 		return false
@@ -191,7 +192,7 @@
 		b.clearSubset(round.writer, index)
 	}
 	added := b.fillSubset(round, index)
-	if added == 0 {
+	if added == 0 && !allowEmpty {
 		return false
 	}
 	batch.addEntries(index, float64(added))
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -27,6 +27,7 @@
 	proxies           int  // connected proxies that route by it
 	entries           int  // number of hosts that it should hold
 	removals          int  // hosts that are waiting for their removal from it
+	subsetHosts       int  // hosts of it that may be in subsets
 	withoutWarmTarget bool // no warm host of it has a target weight above 0: ejections are ignored
 	withoutWarmEntry  bool // it holds no warm host: additions are as urgent as removals
 }
@@ -63,6 +64,8 @@
 		return
 	}
 	b.updateSlowStart(writer)
+	b.findWarmHosts(round.tables)
+	b.countSubsetHosts(round.tables)
 	b.assignSubsetsForRemovals(round)
 	b.publishUrgent(round)
 	b.publishing.urgentPending = round.urgentPending
@@ -70,6 +73,7 @@
 	if weightsAllowed && round.batch.fits(assignments.assigned, protectiveFill) {
 		b.publishAdmission(round)
 	}
+	b.countSubsetHosts(round.tables)
 	b.assignTables(round)
 	b.assignFallbackTables(round)
 	if weightsAllowed {
--- a/routing/publishurgent.go
+++ b/routing/publishurgent.go
@@ -38,11 +38,6 @@
 
 // publishUrgent writes the urgent weight updates, by urgency, and collects the others in round.ordinary.
 func (b *Balancer) publishUrgent(round *publishRound) {
-	for zone := range b.deployment.Zones {
-		number := b.sharedTable(zone)
-		round.tables[number].withoutWarmTarget = !b.hasWarmTarget(number)
-		round.tables[number].withoutWarmEntry = !b.hasWarmEntry(number)
-	}
 	round.urgentDue = b.urgentDue(round)
 	order := b.publishOrder()
 	for urgency := range updateUrgency(len(urgencyFill)) {
@@ -85,8 +80,7 @@
 		if b.urgency(host) == ordinaryUrgency {
 			continue
 		}
-		table := &round.tables[b.sharedTable(host.endpoint.zone)]
-		if b.targetWeight(host, table.withoutWarmTarget) != host.publication.weight {
+		if b.tableWeight(host) != host.publication.weight {
 			entries += host.publication.holders
 		}
 	}
@@ -123,7 +117,7 @@
 func (b *Balancer) publishHost(round *publishRound, index int, urgency updateUrgency) {
 	host := &b.hosts[index]
 	table := &round.tables[b.sharedTable(host.endpoint.zone)]
-	weight := b.targetWeight(host, table.withoutWarmTarget)
+	weight := b.tableWeight(host)
 	if weight > 0 {
 		table.entries++
 	}
@@ -155,6 +149,15 @@
 		r.batch.fits(host.publication.holders, urgencyFill[urgency])
 }
 
+// findWarmHosts determines which shared tables hold a warm host, and which should.
+func (b *Balancer) findWarmHosts(tables []sharedTableState) {
+	for zone := range b.deployment.Zones {
+		number := b.sharedTable(zone)
+		tables[number].withoutWarmTarget = !b.hasWarmTarget(number)
+		tables[number].withoutWarmEntry = !b.hasWarmEntry(number)
+	}
+}
+
 // hasWarmTarget reports whether a shared table should hold a warm host.
 func (b *Balancer) hasWarmTarget(table int) bool {
 	return slices.ContainsFunc(b.hostOrder, func(index int) bool {
--- a/routing/removalsubset.go
+++ b/routing/removalsubset.go
@@ -26,7 +26,7 @@
 			continue
 		}
 		before := round.batch.backlog
-		if !b.maySendMessage(&b.proxies[index]) || !b.assignSubset(round, index, removalFill) {
+		if !b.maySendMessage(&b.proxies[index]) || !b.assignSubset(round, index, removalFill, true) {
 			continue
 		}
 		assigned = true
@@ -39,6 +39,7 @@
 	if assigned {
 		clear(round.tables)
 		round.assignments = b.countAssignments(round.tables)
+		b.findWarmHosts(round.tables)
 	}
 }
 
--- a/routing/slowchannel_test.go
+++ b/routing/slowchannel_test.go
@@ -15,7 +15,7 @@
 	failures        int // failed attempts out of 20, at each host
 
 	tables       map[int]map[int]float64 // weights by table and host
-	assigned     map[int]int             // table by proxy
+	assigned     map[tableHolder]int     // number of the table
 	roundEntries map[int]float64         // entries of the current round, by proxy
 
 	queue             []queuedMessage
@@ -23,18 +23,29 @@
 	queuedEntries     float64
 	mostQueuedEntries float64
 
-	changes   map[int][]tableChange // of the current round, by proxy
-	routes    map[int]map[int]bool  // hosts in the tables that have arrived, by proxy
-	heldAtMs  map[int]float64       // when a proxy last routed to a host that drains, by host
-	emptyMs   map[int]float64       // how long a proxy has had a table without hosts, by proxy
-	mostEmpty float64               // the longest of these times
+	messagesAtMs map[int][]float64 // when messages within the message window were sent, by proxy
+	mostMessages int               // the most messages to one proxy within the window
+
+	changes   map[int][]tableChange        // of the current round, by proxy
+	routes    map[tableHolder]map[int]bool // hosts in the tables that have arrived
+	heldAtMs  map[int]float64              // when a proxy last routed to a host that drains, by host
+	emptyMs   map[tableHolder]float64      // how long a proxy has had a table without hosts
+	mostEmpty float64                      // the longest of these times
+}
+
+// tableHolder is a proxy with its table for all classes, or with its fallback table.
+type tableHolder struct {
+	proxy    int
+	fallback bool
 }
 
-// tableChange is a change of the table by which a proxy routes.
+// tableChange is a change of a table by which a proxy routes.
 type tableChange struct {
-	replace bool // the table was empty before
-	host    int
-	remove  bool
+	fallback bool
+	drop     bool // the proxy has no such table any more
+	replace  bool // the table was empty before
+	host     int
+	remove   bool
 }
 
 // queuedMessage is a message to one proxy.
@@ -57,12 +68,13 @@
 		config:          set.channel,
 		throughputRatio: throughputRatio,
 		tables:          map[int]map[int]float64{},
-		assigned:        map[int]int{},
+		assigned:        map[tableHolder]int{},
 		roundEntries:    map[int]float64{},
+		messagesAtMs:    map[int][]float64{},
 		changes:         map[int][]tableChange{},
-		routes:          map[int]map[int]bool{},
+		routes:          map[tableHolder]map[int]bool{},
 		heldAtMs:        map[int]float64{},
-		emptyMs:         map[int]float64{},
+		emptyMs:         map[tableHolder]float64{},
 	}
 }
 
@@ -75,26 +87,36 @@
 	} else {
 		c.tables[table][host] = weight
 	}
-	for proxy, assigned := range c.assigned {
+	for holder, assigned := range c.assigned {
 		if assigned == table {
+			proxy := holder.proxy
 			c.roundEntries[proxy]++
-			c.changes[proxy] = append(c.changes[proxy], tableChange{host: host, remove: weight == 0})
+			change := tableChange{fallback: holder.fallback, host: host, remove: weight == 0}
+			c.changes[proxy] = append(c.changes[proxy], change)
 		}
 	}
 }
 
-func (c *slowChannel) AssignTable(proxy, table, _ int) {
-	c.assigned[proxy] = table
-	c.roundEntries[proxy] = 1 + float64(len(c.tables[table]))
-	c.changes[proxy] = []tableChange{{replace: true}}
+func (c *slowChannel) AssignTable(proxy, table, classes int) {
+	holder := tableHolder{proxy, classes != 0}
+	if !holder.fallback {
+		delete(c.assigned, tableHolder{proxy, true})
+		c.roundEntries[proxy] = 0
+		c.changes[proxy] = []tableChange{{fallback: true, drop: true}}
+	}
+	c.assigned[holder] = table
+	c.roundEntries[proxy] += 1 + float64(len(c.tables[table]))
+	c.changes[proxy] = append(c.changes[proxy], tableChange{fallback: holder.fallback, replace: true})
 	for host := range c.tables[table] {
-		c.changes[proxy] = append(c.changes[proxy], tableChange{host: host})
+		c.changes[proxy] = append(c.changes[proxy], tableChange{fallback: holder.fallback, host: host})
 	}
 }
 
 func (c *slowChannel) SetAdmission(int, int, float64, int) {
-	for proxy := range c.assigned {
-		c.roundEntries[proxy]++
+	for holder := range c.assigned {
+		if !holder.fallback {
+			c.roundEntries[holder.proxy]++
+		}
 	}
 }
 
@@ -105,6 +127,7 @@
 			continue
 		}
 		entries += c.config.MessageOverhead + 1
+		c.countMessage(proxy)
 		c.queue = append(c.queue, queuedMessage{
 			proxy:   proxy,
 			version: version,
@@ -118,6 +141,15 @@
 	c.mostQueuedEntries = max(c.mostQueuedEntries, c.queuedEntries)
 }
 
+// countMessage counts a message to a proxy.
+func (c *slowChannel) countMessage(proxy int) {
+	window := slices.DeleteFunc(c.messagesAtMs[proxy], func(sentAtMs float64) bool {
+		return sentAtMs < c.nowMs-c.config.MessageWindowMs
+	})
+	c.messagesAtMs[proxy] = append(window, c.nowMs)
+	c.mostMessages = max(c.mostMessages, len(c.messagesAtMs[proxy]))
+}
+
 func (c *slowChannel) CheckHealth(int)       {}
 func (c *slowChannel) ScheduleRound(float64) {}
 func (c *slowChannel) WatchEndpoints()       {}
@@ -167,34 +199,58 @@
 	draining := slices.DeleteFunc(slices.Clone(c.hostOrder), func(host int) bool {
 		return c.hosts[host].endpoint.state == Ready
 	})
-	for proxy, hosts := range c.routes {
+	for holder, hosts := range c.routes {
 		for _, host := range draining {
 			if hosts[host] {
 				c.heldAtMs[host] = nowMs
 			}
 		}
-		c.emptyMs[proxy] += channelStepMs
-		if len(hosts) > 0 {
-			c.emptyMs[proxy] = 0
+		if holder.fallback {
+			continue
+		}
+		c.countEmptyTime(holder)
+		if c.crossZoneClasses != 0 {
+			c.countEmptyTime(tableHolder{holder.proxy, true})
 		}
-		c.mostEmpty = max(c.mostEmpty, c.emptyMs[proxy])
 	}
 }
 
-// apply changes the table of a message's proxy.
+// apply changes the tables of a message's proxy.
 func (c *slowChannel) apply(message queuedMessage) {
 	for _, change := range message.changes {
+		holder := tableHolder{message.proxy, change.fallback}
 		switch {
+		case change.drop:
+			delete(c.routes, holder)
 		case change.replace:
-			c.routes[message.proxy] = map[int]bool{}
+			c.routes[holder] = map[int]bool{}
 		case change.remove:
-			delete(c.routes[message.proxy], change.host)
+			delete(c.routes[holder], change.host)
 		default:
-			c.routes[message.proxy][change.host] = true
+			c.routes[holder][change.host] = true
 		}
 	}
 }
 
+// countEmptyTime counts the time for which a proxy has had no host for the classes that it routes by its fallback
+// table, or for the others, while a warm host is ready that may take them.
+func (c *slowChannel) countEmptyTime(holder tableHolder) {
+	hosts, hasTable := c.routes[holder]
+	if !hasTable {
+		hosts = c.routes[tableHolder{holder.proxy, false}]
+	}
+	warmHostReady := slices.ContainsFunc(c.hostOrder, func(index int) bool {
+		host := &c.hosts[index]
+		ownZone := host.endpoint.zone == c.proxies[holder.proxy].zone
+		return host.endpoint.state == Ready && c.slowStartFactor(host) >= 1 && (ownZone || holder.fallback || !c.zoneLocal)
+	})
+	c.emptyMs[holder] += channelStepMs
+	if len(hosts) > 0 || !warmHostReady {
+		c.emptyMs[holder] = 0
+	}
+	c.mostEmpty = max(c.mostEmpty, c.emptyMs[holder])
+}
+
 // checkRemoved checks that no proxy routes to hosts that began to drain at drainedAtMs later than the drain grace
 // allows.
 func (c *slowChannel) checkRemoved(t *testing.T, hosts []int, drainedAtMs float64) {
@@ -213,7 +269,8 @@
 	}
 }
 
-// checkLimits checks that the queue was never too long and no proxy was without a host for too long.
+// checkLimits checks that the queue was never too long, no proxy was sent too many messages and none was without a host
+// for too long.
 func (c *slowChannel) checkLimits(t *testing.T) {
 	t.Helper()
 	if c.mostEmpty > c.limits.EmptyTableMs {
@@ -222,15 +279,19 @@
 	if c.mostQueuedEntries > c.config.MaxBacklog {
 		t.Errorf("%.0f entries were queued at once, want at most %.0f", c.mostQueuedEntries, c.config.MaxBacklog)
 	}
+	if c.config.MaxMessages > 0 && c.mostMessages > c.config.MaxMessages {
+		t.Errorf("a proxy was sent %d messages within the window, want at most %d", c.mostMessages, c.config.MaxMessages)
+	}
 }
 
 // checkZones checks that no proxy routes to a host of another zone, where a class must stay in its zone.
 func (c *slowChannel) checkZones(t *testing.T) {
 	t.Helper()
-	for proxy, hosts := range c.routes {
+	for holder, hosts := range c.routes {
 		for host := range hosts {
-			if c.zoneLocal && c.hosts[host].endpoint.zone != c.proxies[proxy].zone {
-				t.Fatalf("proxy %d of zone %d routes to host %d of zone %d", proxy, c.proxies[proxy].zone, host,
+			zone := c.proxies[holder.proxy].zone
+			if c.zoneLocal && !holder.fallback && c.hosts[host].endpoint.zone != zone {
+				t.Fatalf("proxy %d of zone %d routes to host %d of zone %d", holder.proxy, zone, host,
 					c.hosts[host].endpoint.zone)
 			}
 		}
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -27,7 +27,10 @@
 func (b *Balancer) fillSubset(round *publishRound, index int) int {
 	proxy := &b.proxies[index]
 	ratePerWeight := round.assignments.ratePerWeight
-	weight, candidates := b.subsetCandidates(proxy, ratePerWeight)
+	if round.tables[b.sharedTable(proxy.zone)].subsetHosts == 0 && !b.retryStorm.quiescing {
+		return 0
+	}
+	weight, candidates := b.subsetCandidates(round, proxy)
 	if b.retryStorm.quiescing {
 		candidates = []int{b.retryStorm.host}
 	}
@@ -48,18 +51,38 @@
 	return added
 }
 
+// countSubsetHosts counts the hosts of each shared table that may be in subsets.
+func (b *Balancer) countSubsetHosts(tables []sharedTableState) {
+	for i := range tables {
+		tables[i].subsetHosts = 0
+	}
+	for _, index := range b.hostOrder {
+		host := &b.hosts[index]
+		if b.mayJoinSubset(host) {
+			tables[b.sharedTable(host.endpoint.zone)].subsetHosts++
+		}
+	}
+}
+
+// mayJoinSubset reports whether a host may be in subsets: it is warm and published.
+func (b *Balancer) mayJoinSubset(host *hostRecord) bool {
+	return host.publication.weight > 0 && b.slowStartFactor(host) >= 1 && b.tableWeight(host) > 0
+}
+
 // subsetCandidates returns the published weight of a proxy's subset, and the warm hosts of its shared table that may be
 // added: hosts of the proxy's own zone below their fair share of subset traffic first, then by the least subset traffic
-// for their weight.
-func (b *Balancer) subsetCandidates(proxy *proxyRecord, ratePerWeight float64) (weight float64, candidates []int) {
+// for their weight. As in the shared table, ejected hosts take part where there are no others.
+func (b *Balancer) subsetCandidates(round *publishRound, proxy *proxyRecord) (weight float64, candidates []int) {
+	ratePerWeight := round.assignments.ratePerWeight
+	shared := b.sharedTable(proxy.zone)
 	for _, index := range b.hostOrder {
 		host := &b.hosts[index]
 		if slices.Contains(proxy.subset, index) {
 			weight += host.publication.weight
 			continue
 		}
-		sameTable := b.sharedTable(host.endpoint.zone) == b.sharedTable(proxy.zone)
-		if sameTable && host.publication.weight > 0 && b.targetWeight(host, false) > 0 && b.slowStartFactor(host) >= 1 {
+		sameTable := b.sharedTable(host.endpoint.zone) == shared
+		if sameTable && b.mayJoinSubset(host) {
 			candidates = append(candidates, index)
 		}
 	}
--- a/routing/weight.go
+++ b/routing/weight.go
@@ -42,6 +42,13 @@
 	return weight * b.recoveryFactor(host) * slowStart * penalty
 }
 
+// tableWeight returns the weight that a host should have in the published tables in this round: its targetWeight, with
+// ejections ignored where its shared table would otherwise hold no warm host. It is valid after findWarmHosts.
+func (b *Balancer) tableWeight(host *hostRecord) float64 {
+	table := &b.publishing.tables[b.sharedTable(host.endpoint.zone)]
+	return b.targetWeight(host, table.withoutWarmTarget)
+}
+
 // successPenalty returns the factor, from minSuccessPenalty to 1, on the weight of a host whose attempts fail more
 // often than those at all hosts of its table. It takes effect at once, whatever the fault.
 func (b *Balancer) successPenalty(host *hostRecord) float64 {
--- /dev/null
+++ b/routing/zonestates_test.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Figures of a deployment of two zones whose channel needs most of the drain grace for one message to each proxy.
+const (
+	busyZone         = 0 // whose hosts change
+	steadyZone       = 1
+	zoneStateProxies = 240
+	zoneStateHosts   = 20 // of each zone
+)
+
+// zoneStateSettings returns the settings of a deployment with a class that must stay in its zone, or in which all
+// classes must.
+func zoneStateSettings(maxMessages int, allLocal bool) settings {
+	set := defaultSettings()
+	set.deployment.HealthChecks = false
+	set.deployment.Proxies = zoneStateProxies
+	set.deployment.AdmissionControl = false
+	set.classes[0].ZoneLocal = true
+	set.classes[1].ZoneLocal = allLocal
+	set.limits.DrainGraceMs = 2000
+	set.channel = ControlChannel{
+		EntriesPerSecond:   2000,
+		MessageOverhead:    4,
+		MaxBacklog:         20000,
+		PropagationDelayMs: 200,
+		Cost:               0.04,
+		MaxMessages:        maxMessages,
+		MessageWindowMs:    10000,
+	}
+	return set
+}
+
+// zoneHosts returns the hosts of a zone of a deployment with 2*zoneStateHosts hosts.
+func zoneHosts(zone int) []int {
+	var hosts []int
+	for host := zone; host < 2*zoneStateHosts; host += 2 {
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// holdTables has all proxies of the busy zone route by a table of the zone's hosts that another controller sent them.
+func (c *slowChannel) holdTables() {
+	for proxy := busyZone; proxy < len(c.proxies); proxy += 2 {
+		hosts := map[int]bool{}
+		for _, host := range zoneHosts(busyZone) {
+			hosts[host] = true
+		}
+		c.routes[tableHolder{proxy, false}] = hosts
+	}
+}
+
+// zoneChange changes the hosts of the busy zone, and returns those that are draining or removed then.
+type zoneChange func(c *slowChannel, nowMs float64) []int
+
+// listHosts lists hosts of the busy zone in a state.
+func (c *slowChannel) listHosts(hosts []int, state HostState, startedAtMs float64) {
+	c.ObserveDelta()
+	for _, host := range hosts {
+		c.ObserveEndpoint(host, busyZone, state, 1, startedAtMs)
+	}
+}
+
+// ejectHosts ejects hosts at whose addresses nothing listens.
+func (c *slowChannel) ejectHosts(hosts []int) {
+	for _, host := range hosts {
+		c.hosts[host].health.unreachable = true
+		c.hosts[host].health.consecutiveFailures = unreachableFailures
+		c.hosts[host].outlier.ejected = true
+	}
+}
+
+// zoneChanges leave the busy zone without a warm host that is not ejected.
+var zoneChanges = map[string]zoneChange{
+	"removed": func(c *slowChannel, _ float64) []int {
+		hosts := zoneHosts(busyZone)
+		c.listHosts(hosts, Removed, 0)
+		return hosts
+	},
+	"draining": func(c *slowChannel, _ float64) []int {
+		hosts := zoneHosts(busyZone)
+		c.listHosts(hosts, Draining, 0)
+		return hosts
+	},
+	"removed and warming up": func(c *slowChannel, nowMs float64) []int {
+		hosts := zoneHosts(busyZone)
+		c.listHosts(hosts[:10], Removed, 0)
+		c.listHosts(hosts[10:], Ready, nowMs)
+		return hosts[:10]
+	},
+	"draining and ejected": func(c *slowChannel, _ float64) []int {
+		hosts := zoneHosts(busyZone)
+		c.listHosts(hosts[:10], Draining, 0)
+		c.ejectHosts(hosts[10:])
+		return hosts[:10]
+	},
+	"removed, warming up and ejected": func(c *slowChannel, nowMs float64) []int {
+		hosts := zoneHosts(busyZone)
+		c.listHosts(hosts[:10], Removed, 0)
+		c.listHosts(hosts[10:], Ready, nowMs)
+		c.ejectHosts(hosts[10:])
+		return hosts[:10]
+	},
+}
+
+// Guards against proxies that are sent nothing after they have connected, since their zone has no warm host for a
+// subset: they go on routing by old tables, to hosts that are draining or removed.
+func TestProxiesConnectInZoneWithoutWarmHost(t *testing.T) {
+	for name, change := range zoneChanges {
+		for _, maxMessages := range []int{0, 20} {
+			for _, allLocal := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %d messages, all local %v", name, maxMessages, allLocal), func(t *testing.T) {
+					const connectedAtMs = 1000
+					c := newSlowChannel(zoneStateSettings(maxMessages, allLocal), 1, 2*zoneStateHosts)
+					left := change(c, connectedAtMs)
+					c.holdTables()
+					nowMs := c.run(connectedAtMs, 20000)
+					c.checkRemoved(t, left, connectedAtMs)
+					c.checkLimits(t)
+					c.checkZones(t)
+					c.listHosts(zoneHosts(busyZone)[:1], Ready, 0)
+					c.run(nowMs, 8000)
+					c.checkLimits(t)
+				})
+			}
+		}
+	}
+}
