Keep the removals of a lost zone ahead of its fallback tables

Callers would see: proxies that stay connected while their zone loses all its hosts go on sending to them beyond the grace.

Cause, two parts. The cost of the waiting removals left out the slow-start cuts that go out with them, so that subsets were not used where removals and cuts together took more than the grace. And the fallback tables of all proxies of the zone were written in the same round, into the same messages: 22 entries beside 17, which doubles the time until the last proxy has its removals.

Change: slow-start cuts count as removals do. A fallback table waits while the channel could not send its backlog within half of the grace; a proxy may be without a host for longer than that.

--- a/routing/fallbacktable.go
+++ b/routing/fallbacktable.go
@@ -63,7 +63,7 @@
 }
 
 // assignFallbackTable gives a proxy another fallback table, or none: then its own table for all classes. It does
-// nothing where the channel has no capacity left.
+// nothing where the channel has no capacity left, or where removals that follow might be late behind it.
 func (b *Balancer) assignFallbackTable(round *publishRound, index, fallback int) {
 	proxy := &b.proxies[index]
 	table, classes := fallback, b.crossZoneClasses
@@ -73,10 +73,12 @@
 		entries = float64(b.countTableEntries(round, index))
 	}
 	cost := entries + tableAssignmentEntries
-	if !b.maySendMessage(proxy) || !round.batch.hasCapacity(cost+round.batch.messageOverhead, removalFill) {
+	cost += round.batch.messageOverhead
+	leavesInTime := round.batch.backlog == 0 || round.batch.backlog+cost <= b.removalCapacity()
+	if !leavesInTime || !b.maySendMessage(proxy) || !round.batch.hasCapacity(cost, removalFill) {
 		return
 	}
-	round.batch.addEntries(index, cost)
+	round.batch.addEntries(index, cost-round.batch.messageOverhead)
 	round.writer.AssignTable(index, table, classes)
 	proxy.fallbackTable = fallback
 }
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -26,7 +26,7 @@
 type sharedTableState struct {
 	proxies           int  // connected proxies that route by it
 	entries           int  // number of hosts that it should hold
-	removals          int  // hosts that are waiting for their removal from it
+	urgentUpdates     int  // hosts that are waiting for their removal or for a slow-start cut
 	subsetHosts       int  // hosts of it that may be in subsets
 	withoutWarmTarget bool // no warm host of it has a target weight above 0: ejections are ignored
 	withoutWarmEntry  bool // it holds no warm host: additions are as urgent as removals
--- a/routing/removalsubset.go
+++ b/routing/removalsubset.go
@@ -3,26 +3,26 @@
 import "sort"
 
 // removalGraceShare is the fraction of the drain grace within which the channel must be able to send its backlog and
-// the waiting removals: the rest is for the time that they were collected, and for removals that follow.
+// the waiting urgent updates: the rest is for the time that they were collected, and for removals that follow.
 const removalGraceShare = 0.5
 
-// assignSubsetsForRemovals gives proxies a subset of the hosts in place of the shared table where the waiting removals
-// could not leave the channel in time: a subset has no removed host and costs a few entries, the removals cost an entry
-// for each removed host. It gives them to as few proxies as needed, those with the least traffic first. They get the
-// shared table again as assignTables finds capacity for it.
+// assignSubsetsForRemovals gives proxies a subset of the hosts in place of the shared table where the waiting removals,
+// with the slow-start cuts that are sent with them, could not leave the channel in time: a subset has no such host and
+// costs a few entries, the updates cost an entry for each host. It gives them to as few proxies as needed, those with
+// the least traffic first. They get the shared table again as assignTables finds capacity for it.
 func (b *Balancer) assignSubsetsForRemovals(round *publishRound) {
 	if b.nowMs < b.publishing.urgentSentAtMs+b.minUrgentGatherMs(round) {
 		return
 	}
-	b.countTableRemovals(round.tables)
-	excess := round.batch.backlog + b.removalCost(round) - b.removalCapacity()
+	b.countUrgentUpdates(round.tables)
+	excess := round.batch.backlog + b.urgentCost(round) - b.removalCapacity()
 	if excess <= 0 {
 		return
 	}
 	assigned := false
 	for _, index := range b.sharedTableProxies() {
-		removals := round.tables[b.sharedTable(b.proxies[index].zone)].removals
-		if removals <= minSubsetSize { // a subset would cost as much
+		updates := round.tables[b.sharedTable(b.proxies[index].zone)].urgentUpdates
+		if updates <= minSubsetSize { // a subset would cost as much
 			continue
 		}
 		before := round.batch.backlog
@@ -30,7 +30,7 @@
 			continue
 		}
 		assigned = true
-		saved := float64(removals) + round.batch.messageOverhead - (round.batch.backlog - before)
+		saved := float64(updates) + round.batch.messageOverhead - (round.batch.backlog - before)
 		excess -= saved
 		if excess <= 0 || saved <= 0 {
 			break
@@ -48,49 +48,49 @@
 	return b.channel.EntriesPerSecond * b.limits.DrainGraceMs / msPerSecond * removalGraceShare
 }
 
-// countTableRemovals counts the waiting removals from each shared table.
-func (b *Balancer) countTableRemovals(tables []sharedTableState) {
+// countUrgentUpdates counts the waiting urgent updates of each shared table.
+func (b *Balancer) countUrgentUpdates(tables []sharedTableState) {
 	for _, index := range b.hostOrder {
 		host := &b.hosts[index]
-		if host.isRemovalPending() {
-			tables[b.sharedTable(host.endpoint.zone)].removals++
+		if b.isUrgentUpdatePending(host) {
+			tables[b.sharedTable(host.endpoint.zone)].urgentUpdates++
 		}
 	}
 }
 
-// removalCost returns the number of entries that all waiting removals cost, with the message overhead.
-func (b *Balancer) removalCost(round *publishRound) float64 {
+// urgentCost returns the number of entries that all waiting urgent updates cost, with the message overhead.
+func (b *Balancer) urgentCost(round *publishRound) float64 {
 	cost := 0.0
 	for i := range b.proxies {
 		proxy := &b.proxies[i]
 		if !proxy.connected || !proxy.assigned {
 			continue
 		}
-		removals := round.tables[b.sharedTable(proxy.zone)].removals
+		updates := round.tables[b.sharedTable(proxy.zone)].urgentUpdates
 		if proxy.ownsTable {
-			removals = b.countSubsetRemovals(proxy)
+			updates = b.countUrgentSubsetUpdates(proxy)
 		}
-		if removals > 0 {
-			cost += float64(removals) + round.batch.messageOverhead
+		if updates > 0 {
+			cost += float64(updates) + round.batch.messageOverhead
 		}
 	}
 	return cost
 }
 
-// countSubsetRemovals counts the waiting removals from a proxy's own table.
-func (b *Balancer) countSubsetRemovals(proxy *proxyRecord) int {
+// countUrgentSubsetUpdates counts the waiting urgent updates of a proxy's own table.
+func (b *Balancer) countUrgentSubsetUpdates(proxy *proxyRecord) int {
 	count := 0
 	for _, index := range proxy.subset {
-		if b.hosts[index].isRemovalPending() {
+		if b.isUrgentUpdatePending(&b.hosts[index]) {
 			count++
 		}
 	}
 	return count
 }
 
-// isRemovalPending reports whether a host is draining or removed and still published.
-func (h *hostRecord) isRemovalPending() bool {
-	return h.endpoint.state != Ready && h.publication.weight > 0
+// isUrgentUpdatePending reports whether a published host is waiting for its removal or for a slow-start cut.
+func (b *Balancer) isUrgentUpdatePending(host *hostRecord) bool {
+	return host.publication.weight > 0 && b.urgency(host) != ordinaryUrgency
 }
 
 // sharedTableProxies returns the connected proxies that route by a shared table, by ascending traffic.
--- a/routing/zonestates_test.go
+++ b/routing/zonestates_test.go
@@ -131,3 +131,21 @@
 		}
 	}
 }
+
+// Guards against removals that wait for the channel since a zone without a warm host has none for subsets.
+func TestZoneLeavesWithoutWarmHost(t *testing.T) {
+	for name, change := range zoneChanges {
+		for _, maxMessages := range []int{0, 20} {
+			t.Run(fmt.Sprintf("%s, %d messages", name, maxMessages), func(t *testing.T) {
+				c := newSlowChannel(zoneStateSettings(maxMessages, false), 1, 2*zoneStateHosts)
+				nowMs := c.run(1000, 30000)
+				left := change(c, nowMs)
+				drainedAtMs := nowMs
+				c.run(nowMs, 20000)
+				c.checkRemoved(t, left, drainedAtMs)
+				c.checkLimits(t)
+				c.checkZones(t)
+			})
+		}
+	}
+}
