Do not send a message for each slow-start step of an ejected host

Cause: the urgency of a warming host's update was judged by its target weight without regard to ejections, 0 for an ejected host, while the weight that is written in a table without a warm host ignores ejections and grows with each round. So each round had an urgent cut, to a larger weight.

Change: the urgency is judged by the weight that the table should hold (tableWeight), which is also the one that is written. A weight that follows the slow start upward is an ordinary update again.

Evidence: TestDrainGraceBesideZoneWithoutWarmHost, small and large deployments with and without a message limit.

--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -145,10 +145,10 @@
 	return failuresInARow != 0 && math.Pow(1-successRatio, failuresInARow) > maxEjectProbability
 }
 
-// exceedsSlowStart reports whether the published weight of a host that is warming up is far above its target weight.
-// A target weight that is lower because of the table's success ratio does not count: that lowers all such hosts of the
+// exceedsSlowStart reports whether the published weight of a host that is warming up is far above its table weight.
+// A weight that is lower because of the table's success ratio does not count: that lowers all such hosts of the
 // table at once, and their updates would keep removals out of the control channel.
 func (b *Balancer) exceedsSlowStart(host *hostRecord) bool {
 	return b.slowStartFactor(host) < 1 &&
-		b.targetWeight(host, false) < host.publication.weight*slowStartCutRatio*b.tableOf(host).successRatio
+		b.tableWeight(host) < host.publication.weight*slowStartCutRatio*b.tableOf(host).successRatio
 }
--- a/routing/zonestates_test.go
+++ b/routing/zonestates_test.go
@@ -149,3 +149,51 @@
 		}
 	}
 }
+
+// Guards against messages that a zone without a warm host sends in each round, for every small change of a host that is
+// warming up: they use up the message window and the channel, so that removals in the other zone are late.
+func TestDrainGraceBesideZoneWithoutWarmHost(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		proxies          int
+		entriesPerSecond float64
+		maxMessages      int
+	}{
+		{"small deployment with a message limit", 12, 7100, 20},
+		{"small deployment without one", 12, 2000, 0},
+		{"large deployment with a message limit", 240, 7100, 20},
+		{"large deployment without one", 240, 2000, 0},
+	} {
+		for _, ejected := range []int{1, zoneStateHosts / 2, zoneStateHosts} {
+			t.Run(fmt.Sprintf("%s, %d hosts ejected", test.name, ejected), func(t *testing.T) {
+				set := zoneStateSettings(test.maxMessages, false)
+				set.deployment.Proxies = test.proxies
+				set.limits.DrainGraceMs = 3000
+				set.limits.SlowStartMs = 18000
+				set.channel.EntriesPerSecond = test.entriesPerSecond
+				set.channel.MaxBacklog = 8 * test.entriesPerSecond
+				c := newSlowChannel(set, 1, 2*zoneStateHosts)
+				nowMs := c.run(1000, 30000)
+				c.listHosts(zoneHosts(busyZone), Removed, 0)
+				nowMs = c.run(nowMs, 12000)
+				c.listHosts(zoneHosts(busyZone), Ready, nowMs)
+				c.ejectHosts(zoneHosts(busyZone)[:ejected])
+				nowMs = c.run(nowMs, 9000)
+				drained := zoneHosts(steadyZone)[:10]
+				drainedAtMs := map[int]float64{}
+				for i, host := range drained {
+					drainedAtMs[host] = nowMs
+					c.ObserveDelta()
+					c.ObserveEndpoint(host, steadyZone, Draining, 1, 0)
+					c.ObserveEndpoint(2*zoneStateHosts+i, steadyZone, Ready, 1, nowMs)
+					nowMs = c.run(nowMs, 700)
+				}
+				c.run(nowMs, 15000)
+				for _, host := range drained {
+					c.checkRemoved(t, []int{host}, drainedAtMs[host])
+				}
+				c.checkLimits(t)
+			})
+		}
+	}
+}
