Collect the removals of a zone without a warm host in one message

Cause: in a table without a warm host urgent updates were not collected, so that its first warm host would come at once. That held for its removals too: a trace of a proxy's messages shows 15 removals of one host each within 2 s, none for 7 s, then the last five in one message.

Change: only a table that is about to get its first warm host skips the collecting, and that host may use the fill of removals, so that it does not wait for the message limit.

--- a/routing/publishurgent.go
+++ b/routing/publishurgent.go
@@ -123,7 +123,7 @@
 	}
 	published := host.publication.weight
 	change := math.Abs(weight - published)
-	if change > 0 && round.maySendNow(host, weight, urgency, table.withoutWarmEntry) {
+	if change > 0 && b.maySendNow(round, host, weight, urgency) {
 		if host.publication.holders > 0 {
 			b.publishing.urgentSentAtMs = b.nowMs
 		}
@@ -139,14 +139,24 @@
 }
 
 // maySendNow reports whether a host's weight may be written before the ordinary ones: no proxy's table holds the
-// host, or the update protects the host or the proxies and fits the channel.
-func (r *publishRound) maySendNow(host *hostRecord, weight float64, urgency updateUrgency, withoutWarmEntry bool) bool {
+// host, or the update protects the host or the proxies, has been collected for long enough and fits the channel. Updates
+// of a table that is about to get its first warm host are not collected, since proxies may be without a host until then.
+func (b *Balancer) maySendNow(round *publishRound, host *hostRecord, weight float64, urgency updateUrgency) bool {
 	if host.publication.holders == 0 {
 		return true
 	}
-	protective := urgency == slowStartUrgency || weight == 0 || withoutWarmEntry && host.publication.weight == 0
-	return protective && !r.urgentPending && (r.urgentDue || withoutWarmEntry) &&
-		r.batch.fits(host.publication.holders, urgencyFill[urgency])
+	table := &round.tables[b.sharedTable(host.endpoint.zone)]
+	added := host.publication.weight == 0 && table.withoutWarmEntry
+	protective := urgency == slowStartUrgency || weight == 0 || added
+	firstWarm := table.withoutWarmEntry && !table.withoutWarmTarget
+	if !protective || round.urgentPending || !round.urgentDue && !firstWarm {
+		return false
+	}
+	fill := urgencyFill[urgency]
+	if added && firstWarm {
+		fill = removalFill
+	}
+	return round.batch.fits(host.publication.holders, fill)
 }
 
 // findWarmHosts determines which shared tables hold a warm host, and which should.
--- a/routing/zonestates_test.go
+++ b/routing/zonestates_test.go
@@ -197,3 +197,34 @@
 		}
 	}
 }
+
+// Guards against removals that are sent one a message once their zone has no warm host any more: they use up the message
+// window before the last of them.
+func TestHostsLeaveZoneWithoutWarmHostOneByOne(t *testing.T) {
+	for _, state := range []HostState{Draining, Removed} {
+		for _, maxMessages := range []int{0, 20} {
+			t.Run(fmt.Sprintf("state %d, %d messages", state, maxMessages), func(t *testing.T) {
+				const spacingMs = 150
+				set := zoneStateSettings(maxMessages, false)
+				set.deployment.Proxies = 24
+				set.limits.DrainGraceMs = 3000
+				c := newSlowChannel(set, 1, 2*zoneStateHosts)
+				nowMs := c.run(1000, 30000)
+				hosts := zoneHosts(busyZone)
+				c.ejectHosts(hosts)
+				nowMs = c.run(nowMs, 2000)
+				drainedAtMs := map[int]float64{}
+				for _, host := range hosts {
+					drainedAtMs[host] = nowMs
+					c.listHosts([]int{host}, state, 0)
+					nowMs = c.run(nowMs, spacingMs)
+				}
+				c.run(nowMs, 12000)
+				for _, host := range hosts {
+					c.checkRemoved(t, []int{host}, drainedAtMs[host])
+				}
+				c.checkLimits(t)
+			})
+		}
+	}
+}
