Let removals of one zone pass the used up message window of another

Change: where zones have tables of their own, an update is held against the proxies of its table, those with it as a fallback included. Removals that wait for a table's message window hold back that table alone; those that wait for the channel hold back all, as before. With one table for all zones nothing differs.

--- a/routing/assignment.go
+++ b/routing/assignment.go
@@ -58,11 +58,15 @@
 			continue
 		}
 		counts.assigned++
+		shared := &tables[b.sharedTable(proxy.zone)]
+		shared.messagesSent = max(shared.messagesSent, len(proxy.messageTimesMs))
 		if !proxy.ownsTable {
-			tables[b.sharedTable(proxy.zone)].proxies++
+			shared.proxies++
 		}
 		if proxy.fallbackTable != noFallbackTable {
-			tables[proxy.fallbackTable].proxies++
+			fallback := &tables[proxy.fallbackTable]
+			fallback.messagesSent = max(fallback.messagesSent, len(proxy.messageTimesMs))
+			fallback.proxies++
 		}
 	}
 	weight := minDivisor
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -26,7 +26,9 @@
 type sharedTableState struct {
 	proxies           int  // connected proxies that route by it
 	entries           int  // number of hosts that it should hold
+	messagesSent      int  // messages sent within the message window to the proxy of it that was sent most
 	urgentUpdates     int  // hosts that are waiting for their removal or for a slow-start cut
+	urgentPending     bool // a removal or slow-start cut of it does not fit this round
 	subsetHosts       int  // hosts of it that may be in subsets
 	withoutWarmTarget bool // no warm host of it has a target weight above 0: ejections are ignored
 	withoutWarmEntry  bool // it holds no warm host: additions are as urgent as removals
@@ -40,6 +42,7 @@
 	tables        []sharedTableState // by table number
 	urgentDue     bool               // urgent updates have been collected for long enough
 	urgentPending bool               // a removal or slow-start cut does not fit this round
+	urgentBlocked bool               // it waits for the channel, and so do those that follow
 	ordinary      []weightUpdate     // updates to write after the urgent ones
 }
 
@@ -70,7 +73,7 @@
 	b.publishUrgent(round)
 	b.publishing.urgentPending = round.urgentPending
 	weightsAllowed := b.rolloutAcknowledged() && !round.urgentPending
-	if weightsAllowed && round.batch.fits(assignments.assigned, protectiveFill) {
+	if weightsAllowed && round.batch.fits(assignments.assigned, assignments.maxMessagesSent, protectiveFill) {
 		b.publishAdmission(round)
 	}
 	b.countSubsetHosts(round.tables)
--- a/routing/publishurgent.go
+++ b/routing/publishurgent.go
@@ -61,7 +61,7 @@
 	}
 	idleEntries := b.channel.EntriesPerSecond * urgentGatherMs / msPerSecond
 	return round.batch.initialBacklog <= idleEntries ||
-		round.batch.fitsEntries(b.pendingUrgentEntries(round), round.assignments.assigned, removalFill) ||
+		b.pendingUrgentUpdatesFit(round) ||
 		gatheredMs >= urgentGatherMaxMs
 }
 
@@ -72,6 +72,12 @@
 	return math.Max(urgentGatherMs, spacingMs)
 }
 
+// pendingUrgentUpdatesFit reports whether the channel has capacity for all urgent updates.
+func (b *Balancer) pendingUrgentUpdatesFit(round *publishRound) bool {
+	counts := &round.assignments
+	return round.batch.fitsEntries(b.pendingUrgentEntries(round), counts.assigned, counts.maxMessagesSent, removalFill)
+}
+
 // pendingUrgentEntries returns the number of entries, without the message overhead, that the urgent updates need.
 func (b *Balancer) pendingUrgentEntries(round *publishRound) float64 {
 	entries := 0
@@ -132,6 +138,9 @@
 	}
 	if change > 0 && urgency < ordinaryUrgency {
 		round.urgentPending = true
+		table.urgentPending = true
+		// Other tables do not wait for the message window of this one's proxies, only for the channel.
+		round.urgentBlocked = round.urgentBlocked || b.channel.allowsMessage(table.messagesSent, removalFill)
 	}
 	if change > minWeightChange*math.Max(published, minWeightRatio*host.endpoint.baseWeight) {
 		round.ordinary = append(round.ordinary, weightUpdate{index, weight, change})
@@ -139,8 +148,9 @@
 }
 
 // maySendNow reports whether a host's weight may be written before the ordinary ones: no proxy's table holds the
-// host, or the update protects the host or the proxies, has been collected for long enough and fits the channel. Updates
-// of a table that is about to get its first warm host are not collected, since proxies may be without a host until then.
+// host, or the update protects the host or the proxies, has been collected for long enough and fits the channel.
+// Updates of a table that is about to get its first warm host are not collected, since proxies may be without a host
+// until then.
 func (b *Balancer) maySendNow(round *publishRound, host *hostRecord, weight float64, urgency updateUrgency) bool {
 	if host.publication.holders == 0 {
 		return true
@@ -149,14 +159,15 @@
 	added := host.publication.weight == 0 && table.withoutWarmEntry
 	protective := urgency == slowStartUrgency || weight == 0 || added
 	firstWarm := table.withoutWarmEntry && !table.withoutWarmTarget
-	if !protective || round.urgentPending || !round.urgentDue && !firstWarm {
+	waits := round.urgentBlocked || table.urgentPending
+	if !protective || waits || !round.urgentDue && !firstWarm {
 		return false
 	}
 	fill := urgencyFill[urgency]
 	if added && firstWarm {
 		fill = removalFill
 	}
-	return round.batch.fits(host.publication.holders, fill)
+	return round.batch.fits(host.publication.holders, table.messagesSent, fill)
 }
 
 // findWarmHosts determines which shared tables hold a warm host, and which should.
--- a/routing/publishweights.go
+++ b/routing/publishweights.go
@@ -99,7 +99,9 @@
 		before := batch.backlog
 		affordable := b.publishing.budget > 0 || before > initialBacklog
 		leavesInTime := before <= graceEntries || entriesForAll > graceEntries
-		if affordable && leavesInTime && batch.fits(b.hosts[update.host].publication.holders, weightFill) {
+		host := &b.hosts[update.host]
+		messagesSent := round.tables[b.sharedTable(host.endpoint.zone)].messagesSent
+		if affordable && leavesInTime && batch.fits(host.publication.holders, messagesSent, weightFill) {
 			b.publishWeight(round, update.host, update.weight)
 			b.publishing.budget -= batch.backlog - before
 		}
--- a/routing/updatebatch.go
+++ b/routing/updatebatch.go
@@ -11,7 +11,6 @@
 	backlog         float64   // entries in the channel with the batch
 	unacknowledged  float64   // unacknowledged entries before the batch
 	assigned        int       // number of proxies that have a table
-	maxMessagesSent int       // messages sent within the message window to the proxy that was sent most
 }
 
 // newUpdateBatch starts the batch of a round.
@@ -28,7 +27,6 @@
 		backlog:         inChannel,
 		unacknowledged:  b.backlog.unacknowledged,
 		assigned:        assignments.assigned,
-		maxMessagesSent: assignments.maxMessagesSent,
 	}
 }
 
@@ -43,19 +41,20 @@
 }
 
 // fits reports whether the control channel has capacity for one more entry to each of the given number of proxies.
-func (u *updateBatch) fits(proxies int, fill float64) bool {
-	return u.fitsEntries(float64(proxies), proxies, fill)
+// messagesSent is the number of messages within the message window to the one of them that was sent most.
+func (u *updateBatch) fits(proxies, messagesSent int, fill float64) bool {
+	return u.fitsEntries(float64(proxies), proxies, messagesSent, fill)
 }
 
 // fitsEntries reports whether the control channel has capacity for more entries, without the message overhead, to the
 // given number of proxies: the backlog, and the messages to each proxy, stay within the fraction fill of the channel's
 // limits.
-func (u *updateBatch) fitsEntries(entries float64, proxies int, fill float64) bool {
+func (u *updateBatch) fitsEntries(entries float64, proxies, messagesSent int, fill float64) bool {
 	newMessages := min(proxies, u.assigned-u.proxies)
 	if !u.hasCapacity(entries+float64(newMessages)*u.messageOverhead, fill) {
 		return false
 	}
-	return u.proxies >= u.assigned || u.channel.allowsMessage(u.maxMessagesSent, fill)
+	return u.proxies >= u.assigned || u.channel.allowsMessage(messagesSent, fill)
 }
 
 // hasCapacity reports whether the backlog stays within the fraction fill of its limit with more entries, the message
--- a/routing/zonestates_test.go
+++ b/routing/zonestates_test.go
@@ -198,8 +198,8 @@
 	}
 }
 
-// Guards against removals that are sent one a message once their zone has no warm host any more: they use up the message
-// window before the last of them.
+// Guards against removals that are sent one a message once their zone has no warm host any more: they use up the
+// message window before the last of them.
 func TestHostsLeaveZoneWithoutWarmHostOneByOne(t *testing.T) {
 	for _, state := range []HostState{Draining, Removed} {
 		for _, maxMessages := range []int{0, 20} {
@@ -228,3 +228,30 @@
 		}
 	}
 }
+
+// Guards against removals that wait because proxies of another zone have used up their message window, with removals of
+// that zone or without.
+func TestMessageLimitOfOtherZone(t *testing.T) {
+	for _, otherZoneDrains := range []bool{false, true} {
+		t.Run(fmt.Sprintf("other zone drains %v", otherZoneDrains), func(t *testing.T) {
+			const maxMessages = 20
+			set := zoneStateSettings(maxMessages, true)
+			set.deployment.Proxies = 24
+			c := newSlowChannel(set, 1, 2*zoneStateHosts)
+			nowMs := c.run(1000, 30000)
+			for proxy := busyZone; proxy < set.deployment.Proxies; proxy += 2 {
+				for range maxMessages - reservedMessages {
+					c.proxies[proxy].messageTimesMs = append(c.proxies[proxy].messageTimesMs, nowMs)
+				}
+			}
+			if otherZoneDrains {
+				c.listHosts(zoneHosts(busyZone)[:1], Draining, 0)
+			}
+			drained := zoneHosts(steadyZone)[:1]
+			c.ObserveDelta()
+			c.ObserveEndpoint(drained[0], steadyZone, Draining, 1, 0)
+			c.run(nowMs, 12000)
+			c.checkRemoved(t, drained, nowMs)
+		})
+	}
+}
