Give proxies of a lost zone a subset where its fallback tables are late

Cause: a fallback table costs each proxy an entry for each host of the other zone, and shared tables for proxies of the other zones, which have a subset and can wait, went out before them.

Proxies without a table come first, then fallback tables, then the others. The view of the table validator takes a subset table that is used for some classes only.

--- a/controller/validation_view.go
+++ b/controller/validation_view.go
@@ -122,9 +122,9 @@
 			continue
 		}
 		c.sumDemand(sums, session, share)
-		if number := session.tableByClass[0]; !c.isShared(number) {
+		if number, ok := c.subsetTableOf(session); ok {
 			c.validation.hasSubsetTables = true
-			c.sumSubsetTable(sums, hosts, session)
+			c.sumSubsetTable(sums, hosts, session, number)
 		}
 	}
 	c.makeRoutes(sums)
@@ -141,8 +141,18 @@
 	}
 }
 
+// subsetTableOf returns the number of the subset table that a proxy uses, for all classes or for some.
+func (c *Controller) subsetTableOf(session *proxySession) (number int, ok bool) {
+	for _, number := range session.tableByClass {
+		if number != noTable && !c.isShared(number) {
+			return number, true
+		}
+	}
+	return noTable, false
+}
+
 // sumSubsetTable adds the subset table of a proxy to those of its zone, in proportion to the proxy's request rate.
-func (c *Controller) sumSubsetTable(sums *routeSums, hosts []guard.Host, session *proxySession) {
+func (c *Controller) sumSubsetTable(sums *routeSums, hosts []guard.Host, session *proxySession, number int) {
 	rate := 0.0
 	for _, classRate := range session.requestRates {
 		rate += classRate
@@ -152,7 +162,7 @@
 	if sums.subsetWeights[zone] == nil {
 		sums.subsetWeights[zone] = make([]float64, len(hosts))
 	}
-	weights := c.tables.table(session.tableByClass[0]).weights
+	weights := c.tables.table(number).weights
 	if !addSubsetTable(sums.subsetWeights[zone], weights, rate, hosts) {
 		sums.emptySubsets = append(sums.emptySubsets, guard.Route{
 			Demands:  c.unknownDemands(zone),
--- a/controller/validation_view_test.go
+++ b/controller/validation_view_test.go
@@ -85,6 +85,34 @@
 	}
 }
 
+// A proxy may use a subset table for some classes only: the route of its zone's subset tables has that table's weights.
+func TestRoutesOfFallbackSubsetTable(t *testing.T) {
+	h := newHarness(t, defaultTestConfig())
+	h.mustSetEndpoints(h.readyEndpoints(2))
+	h.poll(PollRequest{Proxy: "p", Zone: "a", WaitMs: 60000})
+	h.advance(1000)
+	h.deployment.Proxies = 1
+	const fallbackClasses = 1 << 1
+	session := h.sessions.byProxy["p"]
+	number := h.balancer.SubsetTable(session.index)
+	writer := updateWriter{h.Controller}
+	writer.SetWeight(number, h.hostIndex.IndexOf[hostName(1)], 1)
+	writer.AssignTable(session.index, number, fallbackClasses)
+	copy(session.requestRates, []float64{10, 20})
+
+	h.sumRoutes(h.refreshValidatedHosts())
+
+	if len(h.validation.routes) != 2 || !h.validation.hasSubsetTables {
+		t.Fatalf("got %d routes, has subset tables %v, want a shared and a subset table's",
+			len(h.validation.routes), h.validation.hasSubsetTables)
+	}
+	checkRoute(t, 1, h.validation.routes[1], guard.Route{
+		Demands:  []guard.Demand{{Class: "finish", Zone: "a", Work: 2}},
+		Decided:  []float64{0, 30},
+		ReadOnly: true,
+	})
+}
+
 // The same subset table gives the same sum to the last bit, whatever the order of its map.
 func TestSubsetTableSumIsDeterministic(t *testing.T) {
 	const hosts = 12
--- a/routing/assignment.go
+++ b/routing/assignment.go
@@ -63,11 +63,7 @@
 		if !proxy.ownsTable {
 			shared.proxies++
 		}
-		if proxy.fallbackTable != noFallbackTable {
-			fallback := &tables[proxy.fallbackTable]
-			fallback.messagesSent = max(fallback.messagesSent, len(proxy.messageTimesMs))
-			fallback.proxies++
-		}
+		b.countFallbackTable(tables, i)
 	}
 	weight := minDivisor
 	for _, index := range b.hostOrder {
@@ -86,7 +82,7 @@
 	for i := range b.proxies {
 		proxy := &b.proxies[i]
 		proxy.subsetWeight = 0
-		if !proxy.connected || !proxy.ownsTable {
+		if !proxy.connected || !b.usesOwnTable(i) {
 			continue
 		}
 		ratePerHost := proxy.requestRate / float64(len(proxy.subset))
@@ -99,12 +95,12 @@
 	}
 }
 
-// assignTables gives proxies a shared table or a subset of the hosts: those without a table first, then by their
-// traffic. A proxy that cannot get the shared table in time gets a subset first, since it must not keep routing by an
-// old table; the subset is empty where its zone has no host for one. In subset mode and while a retry storm is quiesced
-// every proxy gets a subset. A subset that lost hosts is refilled.
-func (b *Balancer) assignTables(round *publishRound) {
-	for _, index := range b.proxiesToAssign(round.assignments.ratePerWeight) {
+// assignTables gives proxies a shared table or a subset of the hosts. A proxy that cannot get the shared table in time
+// gets a subset first, since it must not keep routing by an old table; the subset is empty where its zone has no host
+// for one. In subset mode and while a retry storm is quiesced every proxy gets a subset. A subset that lost hosts is
+// refilled.
+func (b *Balancer) assignTables(round *publishRound, proxies []int) {
+	for _, index := range proxies {
 		proxy := &b.proxies[index]
 		if !b.maySendMessage(proxy) {
 			continue
@@ -121,24 +117,32 @@
 	}
 }
 
-// proxiesToAssign returns the proxies that should be assigned another table, or more hosts in their own.
-func (b *Balancer) proxiesToAssign(ratePerWeight float64) []int {
-	var due []int
-	for i := range b.proxies {
-		proxy := &b.proxies[i]
+// unassignedProxies returns the proxies without a table, those with the most traffic first.
+func (b *Balancer) unassignedProxies() []int {
+	return b.proxiesByTraffic(func(proxy *proxyRecord) bool { return !proxy.assigned })
+}
+
+// proxiesToReassign returns the proxies that should get another table than the one they have, or more hosts in their
+// own, those with the most traffic first.
+func (b *Balancer) proxiesToReassign(ratePerWeight float64) []int {
+	return b.proxiesByTraffic(func(proxy *proxyRecord) bool {
 		wrongTable := proxy.ownsTable != b.subsetMode.active && !b.retryStorm.quiescing
-		if proxy.connected && (!proxy.assigned || wrongTable || b.lacksHosts(proxy, ratePerWeight)) {
-			due = append(due, i)
+		return proxy.assigned && (wrongTable || b.lacksHosts(proxy, ratePerWeight))
+	})
+}
+
+// proxiesByTraffic returns the connected proxies that are selected, those with the most traffic first.
+func (b *Balancer) proxiesByTraffic(selected func(proxy *proxyRecord) bool) []int {
+	var proxies []int
+	for i := range b.proxies {
+		if proxy := &b.proxies[i]; proxy.connected && selected(proxy) {
+			proxies = append(proxies, i)
 		}
 	}
-	sort.SliceStable(due, func(i, j int) bool {
-		first, second := &b.proxies[due[i]], &b.proxies[due[j]]
-		if first.assigned != second.assigned {
-			return !first.assigned
-		}
-		return first.requestRate > second.requestRate
+	sort.SliceStable(proxies, func(i, j int) bool {
+		return b.proxies[proxies[i]].requestRate > b.proxies[proxies[j]].requestRate
 	})
-	return due
+	return proxies
 }
 
 // maySendMessage reports whether a proxy may be sent one more message for its table. A proxy without a table may use
@@ -195,7 +199,7 @@
 	if !proxy.ownsTable {
 		b.clearSubset(round.writer, index)
 	}
-	added := b.fillSubset(round, index)
+	added := b.fillSubset(round, index, false)
 	if added == 0 && !allowEmpty {
 		return false
 	}
--- a/routing/proxy.go
+++ b/routing/proxy.go
@@ -14,10 +14,12 @@
 
 	assigned     bool    // it was assigned a table since it connected
 	ownsTable    bool    // that table is its own, with a subset of the hosts
-	subset       []int   // the hosts in its own table; it may be outdated while ownsTable is false
+	subset       []int   // the hosts in its own table; it may be outdated while the table is not in use
 	subsetWeight float64 // their published weight
 
-	fallbackTable int // table of another zone for the classes that may leave the proxy's, or noFallbackTable
+	// fallbackTable is the table of another zone, or the proxy's own with hosts of other zones, for the classes that may
+	// leave the proxy's zone; or noFallbackTable.
+	fallbackTable int
 
 	messageTimesMs []float64       // send times of its messages within the message window, oldest first
 	unacknowledged []updateMessage // messages that it has not acknowledged, oldest first
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -77,8 +77,10 @@
 		b.publishAdmission(round)
 	}
 	b.countSubsetHosts(round.tables)
-	b.assignTables(round)
+	reassigned := b.proxiesToReassign(round.assignments.ratePerWeight)
+	b.assignTables(round, b.unassignedProxies())
 	b.assignFallbackTables(round)
+	b.assignTables(round, reassigned)
 	if weightsAllowed {
 		b.publishWeights(round)
 	}
--- a/routing/publishweights.go
+++ b/routing/publishweights.go
@@ -58,9 +58,10 @@
 		if !proxy.connected || !proxy.assigned { // it has no table
 			continue
 		}
-		if proxy.ownsTable {
+		if b.usesOwnTable(i) {
 			b.publishSubsetWeight(round, i, index, subsetWeight)
-		} else if b.sharedTable(proxy.zone) == table {
+		}
+		if !proxy.ownsTable && b.sharedTable(proxy.zone) == table {
 			round.batch.addEntries(i, 1)
 		}
 		if proxy.fallbackTable == table && table != noFallbackTable {
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -14,23 +14,27 @@
 	subsetRefillRatio = 0.7
 )
 
-// lacksHosts reports whether a proxy's own table has too few hosts, or too little weight for the proxy's traffic.
+// lacksHosts reports whether a proxy that routes all classes by its own table has too few hosts in it, or too little
+// weight for the proxy's traffic.
 func (b *Balancer) lacksHosts(proxy *proxyRecord, ratePerWeight float64) bool {
-	if !proxy.ownsTable || b.retryStorm.quiescing {
-		return false
-	}
-	return len(proxy.subset) < minSubsetSize || proxy.subsetWeight*ratePerWeight < subsetRefillRatio*proxy.requestRate
+	return proxy.ownsTable && !b.retryStorm.quiescing && proxy.subsetLacksHosts(ratePerWeight)
+}
+
+// subsetLacksHosts reports whether a proxy's own table has too few hosts, or too little weight for its traffic.
+func (p *proxyRecord) subsetLacksHosts(ratePerWeight float64) bool {
+	return len(p.subset) < minSubsetSize || p.subsetWeight*ratePerWeight < subsetRefillRatio*p.requestRate
 }
 
 // fillSubset adds hosts to a proxy's own table until their weight matches its traffic and they are at least
-// minSubsetSize. It returns the number of hosts added.
-func (b *Balancer) fillSubset(round *publishRound, index int) int {
+// minSubsetSize. They are hosts of its shared table or, for a fallback table, of the other shared tables. It returns
+// the number of hosts added.
+func (b *Balancer) fillSubset(round *publishRound, index int, fallback bool) int {
 	proxy := &b.proxies[index]
 	ratePerWeight := round.assignments.ratePerWeight
-	if round.tables[b.sharedTable(proxy.zone)].subsetHosts == 0 && !b.retryStorm.quiescing {
+	if !fallback && round.tables[b.sharedTable(proxy.zone)].subsetHosts == 0 && !b.retryStorm.quiescing {
 		return 0
 	}
-	weight, candidates := b.subsetCandidates(round, proxy)
+	weight, candidates := b.subsetCandidates(proxy, ratePerWeight, fallback)
 	if b.retryStorm.quiescing {
 		candidates = []int{b.retryStorm.host}
 	}
@@ -69,11 +73,13 @@
 	return host.publication.weight > 0 && b.slowStartFactor(host) >= 1 && b.tableWeight(host) > 0
 }
 
-// subsetCandidates returns the published weight of a proxy's subset, and the warm hosts of its shared table that may be
-// added: hosts of the proxy's own zone below their fair share of subset traffic first, then by the least subset traffic
-// for their weight. As in the shared table, ejected hosts take part where there are no others.
-func (b *Balancer) subsetCandidates(round *publishRound, proxy *proxyRecord) (weight float64, candidates []int) {
-	ratePerWeight := round.assignments.ratePerWeight
+// subsetCandidates returns the published weight of a proxy's subset, and the warm hosts that may be added: those of its
+// shared table or, for a fallback table, of the others. Hosts of the proxy's own zone below their fair share of subset
+// traffic come first, then those with the least subset traffic for their weight. As in the shared table, ejected hosts
+// take part where there are no others.
+func (b *Balancer) subsetCandidates(proxy *proxyRecord, ratePerWeight float64, fallback bool) (
+	weight float64, candidates []int,
+) {
 	shared := b.sharedTable(proxy.zone)
 	for _, index := range b.hostOrder {
 		host := &b.hosts[index]
@@ -82,7 +88,7 @@
 			continue
 		}
 		sameTable := b.sharedTable(host.endpoint.zone) == shared
-		if sameTable && b.mayJoinSubset(host) {
+		if sameTable != fallback && b.mayJoinSubset(host) {
 			candidates = append(candidates, index)
 		}
 	}
--- a/routing/zonestates_test.go
+++ b/routing/zonestates_test.go
@@ -255,3 +255,46 @@
 		})
 	}
 }
+
+// Guards against proxies without a host for a class that may leave their zone: the tables of another zone with many
+// hosts take longer than allowed to reach all proxies of a lost zone.
+func TestFallbackTablesOfManyHosts(t *testing.T) {
+	for _, connected := range []bool{false, true} {
+		t.Run(fmt.Sprintf("connected before %v", connected), func(t *testing.T) {
+			const hosts = 200
+			set := zoneStateSettings(0, false)
+			c := newSlowChannel(set, 1, hosts)
+			nowMs := 1000.0
+			if connected {
+				nowMs = c.run(nowMs, 40000)
+			} else {
+				c.holdTables()
+			}
+			var lost []int
+			for host := busyZone; host < hosts; host += 2 {
+				lost = append(lost, host)
+			}
+			c.listHosts(lost, Removed, 0)
+			lostAtMs := nowMs
+			nowMs = c.run(nowMs, 20000)
+			c.checkRemoved(t, zoneHosts(busyZone), lostAtMs)
+			c.checkLimits(t)
+			c.checkZones(t)
+			c.ObserveDelta()
+			drained := hostRange(steadyZone, steadyZone+1)
+			c.ObserveEndpoint(steadyZone, steadyZone, Draining, 1, 0)
+			drainedAtMs := nowMs
+			nowMs = c.run(nowMs, 5000)
+			c.checkRemoved(t, drained, drainedAtMs)
+			c.listHosts(lost[:5], Ready, 0)
+			c.run(nowMs, 20000)
+			c.checkLimits(t)
+			c.checkZones(t)
+			for proxy := busyZone; proxy < len(c.proxies); proxy += 2 {
+				if table := c.proxies[proxy].fallbackTable; table != noFallbackTable {
+					t.Errorf("proxy %d routes by table %d after the zone's return, want its zone's table alone", proxy, table)
+				}
+			}
+		})
+	}
+}
