Keep hosts that refused connections in a table without a warm host

Cause: a host that was unreachable counts as just started when it returns, which replaced its listed start. Once all hosts of a table had returned, none was warm, and the table got none until they could bear all traffic.

Change: the assumed start is kept beside the listed one, and dropped for all hosts of a table that has had no warm host for half of the limit on empty tables; the list shows a true restart before that. Event "restart not confirmed".

Evidence: TestZoneOfRefusingHostsReturns fails before (6000 ms without a host, 5000 allowed).

--- a/routing/discovery.go
+++ b/routing/discovery.go
@@ -27,10 +27,17 @@
 	state       HostState
 	discovered  bool    // it has been on an endpoint list at least once
 	baseWeight  float64 // the weight as discovered, above 0
-	startedAtMs float64 // the last known start, or startUnknown
+	startedAtMs float64 // the last start as listed, or startUnknown
 	changedAtMs float64 // when its state or start last changed
+
+	// assumedStartMs is when a host that was unreachable has returned, or startUnknown: it may have restarted, which the
+	// list shows later.
+	assumedStartMs float64
 }
 
+// effectiveStartMs returns when a host started, as listed or assumed, or startUnknown.
+func (e *endpointRecord) effectiveStartMs() float64 { return math.Max(e.startedAtMs, e.assumedStartMs) }
+
 // discoveryState is the state of the watch of the endpoint list.
 type discoveryState struct {
 	watchFailed    bool    // since the last round
@@ -88,6 +95,7 @@
 func (h *hostRecord) restart(startedAtMs, nowMs, medianLatencyMs float64) {
 	endpoint := h.endpoint
 	endpoint.startedAtMs = startedAtMs
+	endpoint.assumedStartMs = startUnknown
 	endpoint.changedAtMs = nowMs
 	*h = hostRecord{
 		incarnation: h.incarnation,
--- a/routing/event.go
+++ b/routing/event.go
@@ -20,6 +20,9 @@
 	HostEjected
 	// HostRecovering: an ejected host returns on the recovery ramp, or warms up if it was unreachable.
 	HostRecovering
+	// RestartNotConfirmed: a host that was unreachable counts as warm again, since its table has no warm host and the
+	// endpoint list shows no restart (dropAssumedStarts).
+	RestartNotConfirmed
 	// SubsetModeEntered: each proxy gets a subset of the hosts.
 	SubsetModeEntered
 	// SubsetModeLeft: proxies get the shared table again.
@@ -59,6 +62,8 @@
 		return "host ejected"
 	case HostRecovering:
 		return "host recovering"
+	case RestartNotConfirmed:
+		return "restart not confirmed"
 	case SubsetModeEntered:
 		return "subset mode entered"
 	case SubsetModeLeft:
--- a/routing/explain.go
+++ b/routing/explain.go
@@ -64,7 +64,7 @@
 		SlowStartFactor:      b.slowStartFactor(record),
 		RecoveryFactor:       b.recoveryFactor(record),
 		CooldownUntilMs:      record.balance.cooldownUntilMs,
-		StartedAtMs:          record.endpoint.startedAtMs,
+		StartedAtMs:          record.endpoint.effectiveStartMs(),
 		ConsecutiveFailures:  record.health.consecutiveFailures,
 		Unreachable:          record.health.unreachable,
 		ConsecutiveSuccesses: record.health.consecutiveSuccesses,
--- a/routing/host.go
+++ b/routing/host.go
@@ -16,7 +16,8 @@
 
 // newHostRecord returns the record of an unknown host.
 func newHostRecord() hostRecord {
-	return hostRecord{endpoint: endpointRecord{startedAtMs: startUnknown}, load: UnknownLoad}
+	endpoint := endpointRecord{startedAtMs: startUnknown, assumedStartMs: startUnknown}
+	return hostRecord{endpoint: endpoint, load: UnknownLoad}
 }
 
 // host returns the record of a host index and creates it where there is none. The pointer is valid until the next
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -194,7 +194,7 @@
 }
 
 // recoverHost returns an ejected host to service on the recovery ramp. A host that was unreachable may have
-// restarted, and warms up instead.
+// restarted, and warms up instead, unless dropAssumedStarts finds otherwise.
 func (b *Balancer) recoverHost(writer UpdateWriter, index int) {
 	host := &b.hosts[index]
 	host.outlier.ejected = false
@@ -204,7 +204,7 @@
 	host.stats.meanLatencyMs = b.fleet.medianLatencyMs
 	if host.health.unreachable {
 		host.outlier.recovering = false
-		host.endpoint.startedAtMs = b.nowMs
+		host.endpoint.assumedStartMs = b.nowMs
 	} else {
 		host.outlier.recovering = true
 		host.outlier.recoveringSinceMs = b.nowMs
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -19,6 +19,10 @@
 	// slowStartCutRatio is the fraction of its published weight below which the target weight of a host that is
 	// warming up is published as urgently as a removal.
 	slowStartCutRatio = 0.6
+
+	// assumedStartShare is the fraction of SafetyLimits.EmptyTableMs for which a table may be without a warm host until
+	// assumed starts of its hosts are dropped. The endpoint list shows a true restart within that time.
+	assumedStartShare = 0.5
 )
 
 // slowStartState limits the traffic of the hosts of a shared table that are warming up.
@@ -26,6 +30,7 @@
 	allowed        bool    // hosts that are warming up may get traffic at all
 	publishedShare float64 // published weight of the warm hosts, as a fraction of the current capacity of all ready hosts
 	capacity       tableCapacity
+	warmAtMs       float64 // when a ready host of it was last warm
 }
 
 // tableCapacity holds sums over the hosts of a shared table, in units of weight.
@@ -45,7 +50,7 @@
 // slowStartFactor returns the fraction of its capacity that a host is known to have after its start. It rises linearly
 // from SlowStartInitialFactor to 1, within SlowStartMs of the start.
 func (b *Balancer) slowStartFactor(host *hostRecord) float64 {
-	startedAtMs := host.endpoint.startedAtMs
+	startedAtMs := host.endpoint.effectiveStartMs()
 	if startedAtMs < 0 || b.nowMs >= startedAtMs+b.limits.SlowStartMs {
 		return 1
 	}
@@ -69,6 +74,9 @@
 // updateSlowStart decides for each shared table whether its hosts that are warming up may get traffic.
 func (b *Balancer) updateSlowStart(writer UpdateWriter) {
 	b.measureTableCapacities()
+	if b.dropAssumedStarts(writer) {
+		b.measureTableCapacities()
+	}
 	if !b.zoneLocal {
 		b.updateTableSlowStart(writer, b.sharedTable(0), nil)
 		return
@@ -79,6 +87,29 @@
 	}
 }
 
+// dropAssumedStarts drops the assumption that hosts have restarted while they were unreachable, in each shared table that
+// has been without a warm host for too long: hosts that refuse connections for a while return without a restart, and a
+// table must not stay empty beside hosts that the endpoint list shows as warm. All hosts of a table count as warm at
+// once, so that none gets the traffic of the others. It reports whether any assumption was dropped.
+func (b *Balancer) dropAssumedStarts(writer UpdateWriter) bool {
+	for i := range b.slowStart {
+		if b.slowStart[i].capacity.anyWarm {
+			b.slowStart[i].warmAtMs = b.nowMs
+		}
+	}
+	dropped := false
+	for _, index := range b.hostOrder {
+		host := &b.hosts[index]
+		withoutWarmMs := b.nowMs - b.slowStartOf(host).warmAtMs
+		if host.endpoint.assumedStartMs >= 0 && withoutWarmMs >= b.limits.EmptyTableMs*assumedStartShare {
+			host.endpoint.assumedStartMs = startUnknown
+			dropped = true
+			writer.Log(Event{RestartNotConfirmed, index, nil})
+		}
+	}
+	return dropped
+}
+
 // updateTableSlowStart decides whether hosts of a table that are warming up may get traffic, and updates the published
 // share of its warm hosts. While a ready host is warm they get none until reports show the effect of this instance's
 // own first weights, nor while proxies that eject hosts by themselves may eject most of them and leave only a host that
--- a/routing/zonestates_test.go
+++ b/routing/zonestates_test.go
@@ -298,3 +298,63 @@
 		})
 	}
 }
+
+// Guards against a zone without a host since all of them refused connections for a while: each may have restarted, but
+// the endpoint list says otherwise.
+func TestZoneOfRefusingHostsReturns(t *testing.T) {
+	for _, lastRecoversMs := range []float64{0, 10000} { // after the others
+		t.Run(fmt.Sprintf("last recovers %.0f ms after the others", lastRecoversMs), func(t *testing.T) {
+			set := defaultSettings()
+			set.classes[0].ZoneLocal = true
+			set.limits.SlowStartMs = 17000
+			const hosts, lastHost = 12, 4
+			h := newHarness(set, hosts)
+			reports := uniformReports(hosts, healthyReport)
+			refusing := func(host int) HealthCheckResult {
+				if host%2 == busyZone {
+					return Unreachable
+				}
+				return Healthy
+			}
+			h.runWithHealthChecks(5000, reports, allHosts(Healthy))
+			h.runWithHealthChecks(15000, reports, refusing)
+			h.runWithHealthChecks(lastRecoversMs, reports, onlyHost(lastHost, Unreachable))
+			emptyMs, longestMs := 0.0, 0.0
+			for range 100 {
+				h.runWithHealthChecks(stepMs, reports, allHosts(Healthy))
+				emptyMs += stepMs
+				if h.hasPublishedHost(busyZone) {
+					emptyMs = 0
+				}
+				longestMs = max(longestMs, emptyMs)
+			}
+			if longestMs > set.limits.EmptyTableMs {
+				t.Errorf("the zone's table was empty for %.0f ms, want at most %.0f", longestMs, set.limits.EmptyTableMs)
+			}
+			if warm := h.countWarmHosts(busyZone); warm != hosts/2 {
+				t.Errorf("%d hosts of the zone are warm, want all %d", warm, hosts/2)
+			}
+		})
+	}
+}
+
+// hasPublishedHost reports whether the table of a zone holds a host.
+func (h *harness) hasPublishedHost(zone int) bool {
+	for _, index := range h.hostOrder {
+		if host := &h.hosts[index]; host.endpoint.zone == zone && host.publication.weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// countWarmHosts counts the hosts of a zone that are not warming up.
+func (h *harness) countWarmHosts(zone int) int {
+	count := 0
+	for _, index := range h.hostOrder {
+		if host := &h.hosts[index]; host.endpoint.zone == zone && h.slowStartFactor(host) >= 1 {
+			count++
+		}
+	}
+	return count
+}
