--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -87,10 +87,10 @@
 	}
 }
 
-// dropAssumedStarts drops the assumption that hosts have restarted while they were unreachable, in each shared table that
-// has been without a warm host for too long: hosts that refuse connections for a while return without a restart, and a
-// table must not stay empty beside hosts that the endpoint list shows as warm. All hosts of a table count as warm at
-// once, so that none gets the traffic of the others. It reports whether any assumption was dropped.
+// dropAssumedStarts drops the assumption that hosts have restarted while they were unreachable, in each shared table
+// that has been without a warm host for too long: hosts that refuse connections for a while return without a restart,
+// and a table must not stay empty beside hosts that the endpoint list shows as warm. All hosts of a table count as warm
+// at once, so that none gets the traffic of the others. It reports whether any assumption was dropped.
 func (b *Balancer) dropAssumedStarts(writer UpdateWriter) bool {
 	for i := range b.slowStart {
 		if b.slowStart[i].capacity.anyWarm {
