Report a scenario without ingest samples as a failed test

Beside load three scenarios ended the test process with an index out of range: the controller had answered no request for its ingest report. The tests fail with a message now, and the other tests of the package still run. No check has changed.

--- a/internal/rehearse/faults_test.go
+++ b/internal/rehearse/faults_test.go
@@ -54,7 +54,7 @@
 steps { at_s: 2 for_s: 20 what: MUTE zone: "a" first: 2 count: 1 }
 steps { at_s: 1 for_s: 20 what: AHEAD zone: "b" first: 2 count: 1 size: 3600 }
 steps { at_s: 4 for_s: 1 what: CUT size: 0.1 }`)
-	last := s.ingest.samples[len(s.ingest.samples)-1]
+	last := lastIngestSample(t, s)
 	checkPassed(t, result, out)
 	if s.ingest.rejectedReports.Load() == 0 || last.RateLimiter.Rejected == 0 {
 		t.Errorf("%d responses with status 429, rate limiter %+v, want some reports to be rejected in both",
@@ -79,7 +79,7 @@
 steps { at_s: 4 for_s: 2 what: HANG zone: "b" count: 1 } steps { at_s: 5 for_s: 3 what: DRAIN zone: "a" count: 1 }
 steps { at_s: 6 for_s: 1.5 what: LOSE zone: "b" first: 1 count: 1 }`)
 	checkPassed(t, result, out)
-	if last := s.ingest.samples[len(s.ingest.samples)-1]; last.Repairs == 0 {
+	if last := lastIngestSample(t, s); last.Repairs == 0 {
 		t.Errorf("the guard rejected no tables:\n%s", out)
 	}
 }
@@ -102,11 +102,20 @@
 	if attempts, successes := identities.attempts.Load(), identities.successes.Load(); attempts < 50 || successes != 0 {
 		t.Errorf("%d unauthorized requests, %d accepted, want 50 or more and none accepted:\n%s", attempts, successes, out)
 	}
-	if last := s.ingest.samples[len(s.ingest.samples)-1]; last.Processed < 80 { // includes load reports of hosts
+	if last := lastIngestSample(t, s); last.Processed < 80 { // includes load reports of hosts
 		t.Errorf("got %+v, want 80 processed request stats and load reports or more", last)
 	}
 }
 
+// lastIngestSample returns the controller's last ingest report of a scenario.
+func lastIngestSample(t *testing.T, s *scenario) daemon.IngestReport {
+	t.Helper()
+	if len(s.ingest.samples) == 0 {
+		t.Fatal("the controller answered no request for its ingest report")
+	}
+	return s.ingest.samples[len(s.ingest.samples)-1]
+}
+
 // The leader is killed while a host hangs and another drains. The standby takes over with the leader's state, and the
 // leader restores its state when it returns. All invariants hold. All peers are authenticated by certificates.
 func TestStandbyTakesOver(t *testing.T) {
