Log when a shared table loses its last warm host, and has one again

An operator saw a zone without a warm host by the absence of traffic only. Events "no warm host" and "warm host again", with the zone where zones have tables of their own and the number of proxies.

--- a/routing/event.go
+++ b/routing/event.go
@@ -23,6 +23,11 @@
 	// RestartNotConfirmed: a host that was unreachable counts as warm again, since its table has no warm host and the
 	// endpoint list shows no restart (dropAssumedStarts).
 	RestartNotConfirmed
+	// NoWarmHost: a shared table should hold no host that is warm and not ejected. Proxies may be without a host, or route
+	// by another zone's table (assignFallbackTables).
+	NoWarmHost
+	// WarmHostAgain: such a table should hold one again.
+	WarmHostAgain
 	// SubsetModeEntered: each proxy gets a subset of the hosts.
 	SubsetModeEntered
 	// SubsetModeLeft: proxies get the shared table again.
@@ -64,6 +69,10 @@
 		return "host recovering"
 	case RestartNotConfirmed:
 		return "restart not confirmed"
+	case NoWarmHost:
+		return "no warm host"
+	case WarmHostAgain:
+		return "warm host again"
 	case SubsetModeEntered:
 		return "subset mode entered"
 	case SubsetModeLeft:
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -68,6 +68,7 @@
 	}
 	b.updateSlowStart(writer)
 	b.findWarmHosts(round.tables)
+	b.logWarmHosts(writer, round.tables)
 	b.countSubsetHosts(round.tables)
 	b.assignSubsetsForRemovals(round)
 	b.publishUrgent(round)
--- a/routing/publishurgent.go
+++ b/routing/publishurgent.go
@@ -179,6 +179,33 @@
 	}
 }
 
+// logWarmHosts logs each shared table that has lost its last warm host, or has one again, since the last round.
+func (b *Balancer) logWarmHosts(writer UpdateWriter, tables []sharedTableState) {
+	for zone := range b.deployment.Zones {
+		number := b.sharedTable(zone)
+		table := &b.tables[number]
+		hasWarmHost := !tables[number].withoutWarmTarget
+		switch {
+		case !hasWarmHost && table.hadWarmHost:
+			table.lostWarmHost = true
+			writer.Log(b.warmHostEvent(NoWarmHost, zone, tables[number].proxies))
+		case hasWarmHost && table.lostWarmHost:
+			table.lostWarmHost = false
+			writer.Log(b.warmHostEvent(WarmHostAgain, zone, tables[number].proxies))
+		}
+		table.hadWarmHost = hasWarmHost
+	}
+}
+
+// warmHostEvent returns the event of a shared table, by which the given number of proxies route.
+func (b *Balancer) warmHostEvent(kind EventKind, zone, proxies int) Event {
+	var fields []Field
+	if b.zoneLocal {
+		fields = append(fields, Field{"zone", float64(zone), 0})
+	}
+	return Event{kind, NoHost, append(fields, Field{"proxies", float64(proxies), 0})}
+}
+
 // hasWarmTarget reports whether a shared table should hold a warm host.
 func (b *Balancer) hasWarmTarget(table int) bool {
 	return slices.ContainsFunc(b.hostOrder, func(index int) bool {
--- a/routing/report.go
+++ b/routing/report.go
@@ -85,6 +85,8 @@
 type tableStats struct {
 	counts       attemptCounts // of the report round in progress
 	successRatio float64       // successes per attempt
+	hadWarmHost  bool          // it had a host in the last round that is warm and not ejected
+	lostWarmHost bool          // it has lost the last such host, as logged
 }
 
 // newTableStats returns the statistics before the first reports, for a number of tables.
