--- a/controller/repair_test.go
+++ b/controller/repair_test.go
@@ -176,8 +176,8 @@
 	}
 }
 
-// checkPublished checks the published weights of the table for all zones against the decided ones, and updates when each
-// host was last ready.
+// checkPublished checks the published weights of the table for all zones against the decided ones, and updates when
+// each host was last ready.
 func (h *harness) checkPublished(r *rapid.T, readyMs map[int]float64) {
 	table := h.tables.table(0)
 	for host := range table.decided {
