--- a/routing/publish.go
+++ b/routing/publish.go
@@ -42,7 +42,7 @@
 	tables        []sharedTableState // by table number
 	urgentDue     bool               // urgent updates have been collected for long enough
 	urgentPending bool               // a removal or slow-start cut does not fit this round
-	urgentBlocked bool               // it waits for the channel, and so do those that follow
+	urgentBlocked bool               // such an update waits for the channel, and so do all that follow
 	ordinary      []weightUpdate     // updates to write after the urgent ones
 }
 
--- a/routing/slowchannel_test.go
+++ b/routing/slowchannel_test.go
@@ -269,6 +269,14 @@
 	}
 }
 
+// checkEachRemoved is checkRemoved for hosts that began to drain at different times.
+func (c *slowChannel) checkEachRemoved(t *testing.T, drainedAtMs map[int]float64) {
+	t.Helper()
+	for host, atMs := range drainedAtMs {
+		c.checkRemoved(t, []int{host}, atMs)
+	}
+}
+
 // checkLimits checks that the queue was never too long, no proxy was sent too many messages and none was without a host
 // for too long.
 func (c *slowChannel) checkLimits(t *testing.T) {
--- a/routing/zonestates_test.go
+++ b/routing/zonestates_test.go
@@ -189,9 +189,7 @@
 					nowMs = c.run(nowMs, 700)
 				}
 				c.run(nowMs, 15000)
-				for _, host := range drained {
-					c.checkRemoved(t, []int{host}, drainedAtMs[host])
-				}
+				c.checkEachRemoved(t, drainedAtMs)
 				c.checkLimits(t)
 			})
 		}
@@ -220,9 +218,7 @@
 					nowMs = c.run(nowMs, spacingMs)
 				}
 				c.run(nowMs, 12000)
-				for _, host := range hosts {
-					c.checkRemoved(t, []int{host}, drainedAtMs[host])
-				}
+				c.checkEachRemoved(t, drainedAtMs)
 				c.checkLimits(t)
 			})
 		}
