Split the longest functions of the recording reader and the socket driver

Reader.openBlock (cognitive complexity 24) parses headers and reads blocks in functions of their own, Driver.runSession (35) runs cycles, changes of ownership and the control of the proxy likewise. Tests of the reader compare errors with errors.Is, and the test of truncation and damage is two tests of the same checks.

--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -87,57 +87,86 @@
 	return record, nil
 }
 
+// blockHeader is the header of a block.
+type blockHeader struct {
+	kind     byte
+	size     int     // of the compressed records, in bytes
+	startMs  float64 // instant of the first record
+	checksum uint32  // of the compressed records
+}
+
+// parseBlockHeader returns the header of a block from its bytes. It returns false if they are no valid header, or fewer
+// than a header has.
+func parseBlockHeader(header []byte) (parsed blockHeader, valid bool) {
+	if len(header) < blockHeaderBytes {
+		return blockHeader{}, false
+	}
+	parsed = blockHeader{
+		kind:     header[len(blockMagic)],
+		size:     int(binary.LittleEndian.Uint32(header[4:])),
+		startMs:  math.Float64frombits(binary.LittleEndian.Uint64(header[12:])),
+		checksum: binary.LittleEndian.Uint32(header[20:]),
+	}
+	knownKind := parsed.kind == recordsKind || parsed.kind == indexKind
+	return parsed, bytes.Equal(header[:len(blockMagic)], []byte(blockMagic)) && knownKind && parsed.size <= maxRecordBytes
+}
+
 // openBlock reads the next undamaged block.
 func (r *Reader) openBlock() error {
 	afterMs := 0.0
 	for {
-		header, err := r.in.Peek(blockHeaderBytes)
-		if len(header) == 0 {
+		start, err := r.in.Peek(blockHeaderBytes)
+		if len(start) == 0 {
 			return io.EOF
 		}
 		if err != nil && !r.endedCleanly {
 			return r.noteTruncatedHeader(afterMs)
 		}
-		size := int(binary.LittleEndian.Uint32(header[4:]))
-		if !bytes.Equal(header[:len(blockMagic)], []byte(blockMagic)) ||
-			header[len(blockMagic)] != recordsKind && header[len(blockMagic)] != indexKind || size > maxRecordBytes {
+		header, valid := parseBlockHeader(start)
+		if !valid {
 			if err := r.skipToBlock(afterMs, "no valid block header"); err != nil {
 				return err
 			}
 			continue
 		}
-		kind, startMs := header[len(blockMagic)], math.Float64frombits(binary.LittleEndian.Uint64(header[12:]))
-		wantChecksum := binary.LittleEndian.Uint32(header[20:])
-		from := r.offset
-		r.skip(blockHeaderBytes)
-		compressed := make([]byte, size)
-		n, err := io.ReadFull(r.in, compressed)
-		r.offset += int64(n)
-		if err != nil {
-			r.addDamagedRange(from, startMs, "the recording ends inside a block")
-			return ErrTruncated
-		}
-		if Checksum(compressed) != wantChecksum {
-			r.addDamagedRange(from, startMs, "the checksum of the block does not match")
-			continue
-		}
-		if kind == indexKind {
-			r.endedCleanly = true
-			return io.EOF
-		}
-		decoder, err := sharedDecoder()
-		if err != nil {
-			return fmt.Errorf("creating a decoder: %w", err)
+		if damaged, err := r.readBlock(header); !damaged {
+			return err
 		}
-		if r.block, err = decoder.DecodeAll(compressed, nil); err != nil {
-			r.addDamagedRange(from, startMs, err.Error())
-			r.block = nil
-			continue
-		}
-		return nil
 	}
 }
 
+// readBlock reads the block that begins with a header at the current offset. It returns true, and adds a damaged range,
+// if the block is complete but damaged.
+func (r *Reader) readBlock(header blockHeader) (damaged bool, err error) {
+	from := r.offset
+	r.skip(blockHeaderBytes)
+	compressed := make([]byte, header.size)
+	n, err := io.ReadFull(r.in, compressed)
+	r.offset += int64(n)
+	if err != nil {
+		r.addDamagedRange(from, header.startMs, "the recording ends inside a block")
+		return false, ErrTruncated
+	}
+	if Checksum(compressed) != header.checksum {
+		r.addDamagedRange(from, header.startMs, "the checksum of the block does not match")
+		return true, nil
+	}
+	if header.kind == indexKind {
+		r.endedCleanly = true
+		return false, io.EOF
+	}
+	decoder, err := sharedDecoder()
+	if err != nil {
+		return false, fmt.Errorf("creating a decoder: %w", err)
+	}
+	if r.block, err = decoder.DecodeAll(compressed, nil); err != nil {
+		r.addDamagedRange(from, header.startMs, err.Error())
+		r.block = nil
+		return true, nil
+	}
+	return false, nil
+}
+
 // noteTruncatedHeader reports that the recording ends inside the header of a block.
 func (r *Reader) noteTruncatedHeader(afterMs float64) error {
 	from := r.offset
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -49,9 +49,8 @@
 	}
 }
 
-// A recording that is truncated at any byte has the complete blocks before that byte, and is reported as truncated. A
-// recording with a damaged byte has all other blocks, and the damaged range is reported.
-func TestTruncatedAndDamaged(t *testing.T) {
+// A recording that is truncated at any byte has the complete blocks before that byte, and is reported as truncated.
+func TestTruncated(t *testing.T) {
 	recording := testRecording(t, 30, 10, true)
 	all, r, err := readTimes(recording)
 	if len(all) != 30 || !errors.Is(err, io.EOF) || !r.EndedCleanly() || len(r.DamagedRanges) != 0 {
@@ -60,17 +59,23 @@
 	}
 	for cut := len(magic); cut < len(recording)-16; cut++ {
 		times, r, err := readTimes(recording[:cut])
-		if len(times)%10 != 0 || r.EndedCleanly() || err != io.EOF && err != ErrTruncated {
+		truncated := errors.Is(err, ErrTruncated)
+		if len(times)%10 != 0 || r.EndedCleanly() || !errors.Is(err, io.EOF) && !truncated {
 			t.Fatalf("truncated at byte %d: got %d records, the error %v and clean end %v, want complete blocks, "+
 				"EOF or %v, and no clean end", cut, len(times), err, r.EndedCleanly(), ErrTruncated)
 		}
-		if err == ErrTruncated && len(r.DamagedRanges) == 0 {
+		if truncated && len(r.DamagedRanges) == 0 {
 			t.Fatalf("truncated at byte %d: got no damaged range, want one", cut)
 		}
 	}
 	if times, _, _ := readTimes(recording[:len(recording)-17]); len(times) != 30 {
 		t.Errorf("without the index: got %d records, want 30", len(times))
 	}
+}
+
+// A recording with a damaged byte has all other blocks, and the damaged range is reported.
+func TestDamaged(t *testing.T) {
+	recording := testRecording(t, 30, 10, true)
 	lost := 0
 	for offset := len(magic); offset < len(recording)-16; offset++ {
 		damaged := bytes.Clone(recording)
@@ -103,10 +108,10 @@
 		recording = binary.LittleEndian.AppendUint32(recording, Checksum(body))
 		recording = append(recording, body...)
 	}
-	if times, _, err := readTimes(recording); len(times) != 3 || err != io.EOF {
+	if times, _, err := readTimes(recording); len(times) != 3 || !errors.Is(err, io.EOF) {
 		t.Errorf("got %d records and the error %v, want 3 and EOF", len(times), err)
 	}
-	if times, _, err := readTimes(recording[:len(recording)-1]); len(times) != 2 || err != ErrTruncated {
+	if times, _, err := readTimes(recording[:len(recording)-1]); len(times) != 2 || !errors.Is(err, ErrTruncated) {
 		t.Errorf("truncated: got %d records and the error %v, want 2 and %v", len(times), err, ErrTruncated)
 	}
 }
@@ -121,3 +126,18 @@
 		}
 	})
 }
+
+// A reader that is asked again after the end of a recording does not read its index as a block.
+func TestNextAfterEnd(t *testing.T) {
+	r := NewReader(bytes.NewReader(testRecording(t, 3, 10, true)))
+	for range 3 {
+		if _, err := r.Next(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 2 {
+		if record, err := r.Next(); !errors.Is(err, io.EOF) {
+			t.Errorf("got the record %v and the error %v after the end, want EOF", record, err)
+		}
+	}
+}
--- a/internal/socketproxy/socketproxy.go
+++ b/internal/socketproxy/socketproxy.go
@@ -160,14 +160,23 @@
 		input:     bufio.NewReaderSize(conn, readBufferBytes),
 		responses: make(chan controller.Response, maxQueuedResponses),
 	}
-	defer func() {
-		if s.pollID != 0 {
-			s.controller.CancelPoll(s.config.Proxy, s.pollID)
-		}
-	}()
+	defer s.cancelPoll()
 	if _, err := s.execute("prompt"); err != nil {
 		return err
 	}
+	return s.runCycles(ctx)
+}
+
+// cancelPoll cancels the pending poll, if there is one.
+func (s *session) cancelPoll() {
+	if s.pollID != 0 {
+		s.controller.CancelPoll(s.config.Proxy, s.pollID)
+		s.pollID = 0
+	}
+}
+
+// runCycles runs a cycle each config.CyclePeriod until the connection fails or the context ends.
+func (s *session) runCycles(ctx context.Context) error {
 	ticker := time.NewTicker(s.config.CyclePeriod)
 	defer ticker.Stop()
 	wasOwner := false
@@ -176,29 +185,12 @@
 		if err != nil {
 			return err
 		}
-		if isOwner && !wasOwner {
-			s.logUnlessRepeated(fmt.Sprintf("proxy %s: now controlled through its runtime socket", s.config.Proxy))
-			if err := s.readServers(); err != nil {
-				return err
-			}
-			s.pollController()
-		} else if wasOwner && !isOwner {
-			s.logUnlessRepeated(fmt.Sprintf("proxy %s: another controller has taken over its runtime socket", s.config.Proxy))
-			if s.pollID != 0 {
-				s.controller.CancelPoll(s.config.Proxy, s.pollID)
-				s.pollID = 0
-			}
+		if err := s.changeOwnership(wasOwner, isOwner); err != nil {
+			return err
 		}
-		if wasOwner = isOwner; isOwner {
-			if cycle%cyclesPerStateRead == cyclesPerStateRead-1 {
-				if err := s.readServers(); err != nil {
-					return err
-				}
-			}
-			if err := s.reportStats(); err != nil {
-				return err
-			}
-			if err := s.updateProxy(); err != nil {
+		wasOwner = isOwner
+		if isOwner {
+			if err := s.controlProxy(cycle); err != nil {
 				return err
 			}
 		}
@@ -208,6 +200,37 @@
 	}
 }
 
+// changeOwnership starts to control the proxy where this controller has become the owner of its socket, and stops where
+// it is no longer.
+func (s *session) changeOwnership(wasOwner, isOwner bool) error {
+	switch {
+	case isOwner && !wasOwner:
+		s.logUnlessRepeated(fmt.Sprintf("proxy %s: now controlled through its runtime socket", s.config.Proxy))
+		if err := s.readServers(); err != nil {
+			return err
+		}
+		s.pollController()
+	case wasOwner && !isOwner:
+		s.logUnlessRepeated(fmt.Sprintf("proxy %s: another controller has taken over its runtime socket", s.config.Proxy))
+		s.cancelPoll()
+	}
+	return nil
+}
+
+// controlProxy reports the proxy's statistics and updates its weights. In every cyclesPerStateRead-th cycle it reads
+// the state of the proxy's servers first.
+func (s *session) controlProxy(cycle int) error {
+	if cycle%cyclesPerStateRead == cyclesPerStateRead-1 {
+		if err := s.readServers(); err != nil {
+			return err
+		}
+	}
+	if err := s.reportStats(); err != nil {
+		return err
+	}
+	return s.updateProxy()
+}
+
 // closeConn closes a connection. It ignores the error: the connection is not used again.
 func closeConn(conn net.Conn) { _ = conn.Close() }
 
