Count hosts for subsets and urgent updates only where they are needed

A profile showed two lists of proxies made in each round by closures, the urgency of each subset's hosts reckoned proxy by proxy, and a maximum of floating-point numbers in slowStartFactor. Decisions are the same.

--- a/routing/assignment.go
+++ b/routing/assignment.go
@@ -100,6 +100,9 @@
 // for one. In subset mode and while a retry storm is quiesced every proxy gets a subset. A subset that lost hosts is
 // refilled.
 func (b *Balancer) assignTables(round *publishRound, proxies []int) {
+	if len(proxies) > 0 {
+		b.countSubsetHosts(round.tables)
+	}
 	for _, index := range proxies {
 		proxy := &b.proxies[index]
 		if !b.maySendMessage(proxy) {
@@ -117,32 +120,32 @@
 	}
 }
 
-// unassignedProxies returns the proxies without a table, those with the most traffic first.
-func (b *Balancer) unassignedProxies() []int {
-	return b.proxiesByTraffic(func(proxy *proxyRecord) bool { return !proxy.assigned })
-}
-
-// proxiesToReassign returns the proxies that should get another table than the one they have, or more hosts in their
-// own, those with the most traffic first.
-func (b *Balancer) proxiesToReassign(ratePerWeight float64) []int {
-	return b.proxiesByTraffic(func(proxy *proxyRecord) bool {
-		wrongTable := proxy.ownsTable != b.subsetMode.active && !b.retryStorm.quiescing
-		return proxy.assigned && (wrongTable || b.lacksHosts(proxy, ratePerWeight))
-	})
-}
-
-// proxiesByTraffic returns the connected proxies that are selected, those with the most traffic first.
-func (b *Balancer) proxiesByTraffic(selected func(proxy *proxyRecord) bool) []int {
-	var proxies []int
+// proxiesToAssign returns the proxies without a table, and those that should get another table than the one they have,
+// or more hosts in their own; each list has the proxies with the most traffic first.
+func (b *Balancer) proxiesToAssign(ratePerWeight float64) (unassigned, reassigned []int) {
 	for i := range b.proxies {
-		if proxy := &b.proxies[i]; proxy.connected && selected(proxy) {
-			proxies = append(proxies, i)
+		proxy := &b.proxies[i]
+		if !proxy.connected {
+			continue
+		}
+		wrongTable := proxy.ownsTable != b.subsetMode.active && !b.retryStorm.quiescing
+		switch {
+		case !proxy.assigned:
+			unassigned = append(unassigned, i)
+		case wrongTable || b.lacksHosts(proxy, ratePerWeight):
+			reassigned = append(reassigned, i)
 		}
 	}
+	b.sortByTraffic(unassigned)
+	b.sortByTraffic(reassigned)
+	return unassigned, reassigned
+}
+
+// sortByTraffic sorts proxies by descending traffic.
+func (b *Balancer) sortByTraffic(proxies []int) {
 	sort.SliceStable(proxies, func(i, j int) bool {
 		return b.proxies[proxies[i]].requestRate > b.proxies[proxies[j]].requestRate
 	})
-	return proxies
 }
 
 // maySendMessage reports whether a proxy may be sent one more message for its table. A proxy without a table may use
--- a/routing/discovery.go
+++ b/routing/discovery.go
@@ -36,7 +36,12 @@
 }
 
 // effectiveStartMs returns when a host started, as listed or assumed, or startUnknown.
-func (e *endpointRecord) effectiveStartMs() float64 { return math.Max(e.startedAtMs, e.assumedStartMs) }
+func (e *endpointRecord) effectiveStartMs() float64 {
+	if e.assumedStartMs > e.startedAtMs {
+		return e.assumedStartMs
+	}
+	return e.startedAtMs
+}
 
 // discoveryState is the state of the watch of the endpoint list.
 type discoveryState struct {
--- a/routing/publish.go
+++ b/routing/publish.go
@@ -8,6 +8,10 @@
 	weight     float64
 	holders    int     // connected proxies whose table has the host; each needs a message for a change of its weight
 	subsetRate float64 // requests a second that proxies with their own tables send there
+
+	// urgentPending is set while the host waits for its removal or for a slow-start cut. It is valid within
+	// assignSubsetsForRemovals.
+	urgentPending bool
 }
 
 // publishingState is the state that publish keeps between rounds.
@@ -69,7 +73,6 @@
 	b.updateSlowStart(writer)
 	b.findWarmHosts(round.tables)
 	b.logWarmHosts(writer, round.tables)
-	b.countSubsetHosts(round.tables)
 	b.assignSubsetsForRemovals(round)
 	b.publishUrgent(round)
 	b.publishing.urgentPending = round.urgentPending
@@ -77,9 +80,8 @@
 	if weightsAllowed && round.batch.fits(assignments.assigned, assignments.maxMessagesSent, protectiveFill) {
 		b.publishAdmission(round)
 	}
-	b.countSubsetHosts(round.tables)
-	reassigned := b.proxiesToReassign(round.assignments.ratePerWeight)
-	b.assignTables(round, b.unassignedProxies())
+	unassigned, reassigned := b.proxiesToAssign(round.assignments.ratePerWeight)
+	b.assignTables(round, unassigned)
 	b.assignFallbackTables(round)
 	b.assignTables(round, reassigned)
 	if weightsAllowed {
--- a/routing/removalsubset.go
+++ b/routing/removalsubset.go
@@ -14,7 +14,10 @@
 	if b.nowMs < b.publishing.urgentSentAtMs+b.minUrgentGatherMs(round) {
 		return
 	}
-	b.countUrgentUpdates(round.tables)
+	if !b.countUrgentUpdates(round.tables) {
+		return
+	}
+	b.countSubsetHosts(round.tables)
 	excess := round.batch.backlog + b.urgentCost(round) - b.removalCapacity()
 	if excess <= 0 {
 		return
@@ -48,14 +51,18 @@
 	return b.channel.EntriesPerSecond * b.limits.DrainGraceMs / msPerSecond * removalGraceShare
 }
 
-// countUrgentUpdates counts the waiting urgent updates of each shared table.
-func (b *Balancer) countUrgentUpdates(tables []sharedTableState) {
+// countUrgentUpdates counts the waiting urgent updates of each shared table, and reports whether there are any.
+func (b *Balancer) countUrgentUpdates(tables []sharedTableState) bool {
+	pending := false
 	for _, index := range b.hostOrder {
 		host := &b.hosts[index]
-		if b.isUrgentUpdatePending(host) {
+		host.publication.urgentPending = host.publication.weight > 0 && b.urgency(host) != ordinaryUrgency
+		if host.publication.urgentPending {
 			tables[b.sharedTable(host.endpoint.zone)].urgentUpdates++
+			pending = true
 		}
 	}
+	return pending
 }
 
 // urgentCost returns the number of entries that all waiting urgent updates cost, with the message overhead.
@@ -81,18 +88,13 @@
 func (b *Balancer) countUrgentSubsetUpdates(proxy *proxyRecord) int {
 	count := 0
 	for _, index := range proxy.subset {
-		if b.isUrgentUpdatePending(&b.hosts[index]) {
+		if b.hosts[index].publication.urgentPending {
 			count++
 		}
 	}
 	return count
 }
 
-// isUrgentUpdatePending reports whether a published host is waiting for its removal or for a slow-start cut.
-func (b *Balancer) isUrgentUpdatePending(host *hostRecord) bool {
-	return host.publication.weight > 0 && b.urgency(host) != ordinaryUrgency
-}
-
 // sharedTableProxies returns the connected proxies that route by a shared table, by ascending traffic.
 func (b *Balancer) sharedTableProxies() []int {
 	var proxies []int
